--- /dev/null
+++ b/base/src/boot.rs
@@ -0,0 +1,205 @@
+//! How both programs start: flags, settings file, log, signals.
+
+use std::{path::PathBuf, process::exit, rc::Rc};
+
+use crate::{
+    seam::{Env, Real},
+    settings::{self, Place, Settings},
+};
+
+/// Exit code: the settings or flags are wrong.
+pub const BAD_SETTINGS: i32 = 78;
+/// Exit code: an address can't be bound or the data folder can't be used.
+pub const CANT_START: i32 = 69;
+
+/// What the flags said; they go before the file.
+#[derive(Clone, Debug, Default)]
+pub struct Flags {
+    pub file: Option<PathBuf>,
+    pub name: Option<String>,
+    pub area: Option<String>,
+    pub http: Option<String>,
+    pub peer: Option<String>,
+    pub seed: Vec<String>,
+    pub data: Option<String>,
+    pub platform: Option<String>,
+    pub log: Option<String>,
+    pub check: bool,
+}
+
+/// Declares a program's flags, the same for both programs but for the description.
+#[macro_export]
+macro_rules! flags {
+    ($text:literal) => {
+        #[derive(argh::FromArgs)]
+        #[argh(description = $text)]
+        struct Given {
+            /// settings file (JSON); flags go before it
+            #[argh(option)]
+            file: Option<std::path::PathBuf>,
+            /// this process's name
+            #[argh(option)]
+            name: Option<String>,
+            /// the area it stands in
+            #[argh(option)]
+            area: Option<String>,
+            /// address for callers, back ends and operators
+            #[argh(option)]
+            http: Option<String>,
+            /// address for other processes
+            #[argh(option)]
+            peer: Option<String>,
+            /// peer address of a control node; give three
+            #[argh(option)]
+            seed: Vec<String>,
+            /// data folder (control nodes)
+            #[argh(option)]
+            data: Option<String>,
+            /// address of the platform that names leaders (control nodes)
+            #[argh(option)]
+            platform: Option<String>,
+            /// error, warn, info or debug
+            #[argh(option)]
+            log: Option<String>,
+            /// check settings and flags, then exit
+            #[argh(switch)]
+            check: bool,
+        }
+
+        fn flags() -> $crate::boot::Flags {
+            let g: Given = argh::from_env();
+            $crate::boot::Flags {
+                file: g.file,
+                name: g.name,
+                area: g.area,
+                http: g.http,
+                peer: g.peer,
+                seed: g.seed,
+                data: g.data,
+                platform: g.platform,
+                log: g.log,
+                check: g.check,
+            }
+        }
+    };
+}
+
+/// Reads the file and lays the flags over it; the error names file and field.
+pub fn load(flags: &Flags) -> Result<(Settings, Place), String> {
+    let mut set = match &flags.file {
+        Some(path) => {
+            let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+            settings::read(&text).map_err(|e| format!("{}: {e}", path.display()))?
+        }
+        None => {
+            for (flag, given) in [
+                ("name", flags.name.is_some()),
+                ("area", flags.area.is_some()),
+                ("http", flags.http.is_some()),
+                ("peer", flags.peer.is_some()),
+                ("seed", !flags.seed.is_empty()),
+            ] {
+                if !given {
+                    return Err(format!("--{flag} is missing, and no --file is given"));
+                }
+            }
+            let bare = br#"{"name":"","area":"","http":"","peer":"","seeds":[]}"#;
+            settings::read(bare)?
+        }
+    };
+    for (to, from) in [
+        (&mut set.name, &flags.name),
+        (&mut set.area, &flags.area),
+        (&mut set.http, &flags.http),
+        (&mut set.peer, &flags.peer),
+        (&mut set.log, &flags.log),
+    ] {
+        if let Some(v) = from {
+            to.clone_from(v);
+        }
+    }
+    if !flags.seed.is_empty() {
+        set.seeds.clone_from(&flags.seed);
+    }
+    if flags.data.is_some() {
+        set.data.clone_from(&flags.data);
+    }
+    if flags.platform.is_some() {
+        set.platform.clone_from(&flags.platform);
+    }
+    let from = flags.file.as_ref().map_or("flags".to_string(), |f| f.display().to_string());
+    match set.check() {
+        Ok(place) => Ok((set, place)),
+        Err(all) => Err(all.iter().map(|f| format!("{from}: {f}")).collect::<Vec<_>>().join("\n")),
+    }
+}
+
+/// Loads, or tells what is wrong and ends; with `--check` ends either way.
+pub fn must_load(flags: &Flags, hub: bool) -> (Settings, Place) {
+    let out = load(flags).and_then(|(s, p)| match &s.data {
+        None if hub => Err("data: a control node needs a data folder".into()),
+        Some(_) if !hub => Err("data: only control nodes have a data folder".into()),
+        _ => Ok((s, p)),
+    });
+    match out {
+        Ok(_) if flags.check => {
+            println!("settings are good");
+            exit(0)
+        }
+        Ok(both) => both,
+        Err(text) => {
+            eprintln!("{text}");
+            exit(BAD_SETTINGS)
+        }
+    }
+}
+
+/// Sets how much is logged.
+pub fn log(level: &str) {
+    use spdlog::{Level, LevelFilter};
+    let level = match level {
+        "error" => Level::Error,
+        "warn" => Level::Warn,
+        "debug" => Level::Debug,
+        _ => Level::Info,
+    };
+    spdlog::default_logger().set_level_filter(LevelFilter::MoreSevereEqual(level));
+    spdlog::default_logger().set_flush_level_filter(LevelFilter::All);
+}
+
+/// The real world, with the data folder if one is set.
+pub fn world(data: Option<&str>) -> Env {
+    match Real::new(data.map(PathBuf::from)) {
+        Ok(w) => Env::new(w as Rc<dyn crate::seam::World>),
+        Err(e) => fail(&format!("data folder: {e}")),
+    }
+}
+
+/// Tells why the process can't start, and ends it.
+pub fn fail(text: &str) -> ! {
+    spdlog::critical!("main: {text}");
+    spdlog::default_logger().flush();
+    exit(CANT_START)
+}
+
+/// What a process was told by signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// End, as gracefully as can be.
+    End,
+    /// Read the settings again.
+    Reload,
+}
+
+/// Waits for the next signal.
+pub async fn signal() -> Call {
+    use compio::signal::unix::signal;
+    use futures::FutureExt;
+    let (term, int, hup) = (signal(15).fuse(), signal(2).fuse(), signal(1).fuse());
+    futures::pin_mut!(term, int, hup);
+    futures::select! {
+        _ = term => Call::End,
+        _ = int => Call::End,
+        _ = hup => Call::Reload,
+    }
+}
--- /dev/null
+++ b/base/src/bounds.rs
@@ -0,0 +1,112 @@
+//! The bounds the users gave, and every other span as a ratio to them.
+
+use std::time::Duration;
+
+/// The bounds from the settings, in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// How long an acknowledged doorway set may go unheeded.
+    pub blueprint: u64,
+    /// How old a commit a lookup may miss.
+    pub fresh: u64,
+    /// How long work may still reach an emptied area.
+    pub empty: u64,
+    /// How long work may still reach a draining or gone server.
+    pub drain: u64,
+    /// How long service may stay down after machines return.
+    pub back: u64,
+    /// How long a statement may take at most.
+    pub statement: u64,
+    /// How long a transaction may sit idle.
+    pub idle: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            blueprint: 3000,
+            fresh: 1500,
+            empty: 5000,
+            drain: 7000,
+            back: 12000,
+            statement: 4000,
+            idle: 10000,
+        }
+    }
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+impl Bounds {
+    /// How often a node beats to its parent: an eighth of the blueprint bound.
+    pub fn beat(&self) -> Duration {
+        ms(self.blueprint / 8)
+    }
+
+    /// How long a confirmation counts from when it was asked for: four fifths of the blueprint bound.
+    pub fn confirm(&self) -> Duration {
+        ms(self.blueprint * 4 / 5)
+    }
+
+    /// How long a leader or share grant lasts: two thirds of the blueprint bound.
+    pub fn grant(&self) -> Duration {
+        ms(self.blueprint * 2 / 3)
+    }
+
+    /// How long the giver waits before a grant counts as run out: the grant and a tenth, for clocks that differ.
+    pub fn lapse(&self) -> Duration {
+        self.grant() * 11 / 10
+    }
+
+    /// How often hubs beat to each other: a fifteenth of the blueprint bound.
+    pub fn pulse(&self) -> Duration {
+        ms(self.blueprint / 15)
+    }
+
+    /// How long a hub holds to a leading hub it heard: three pulses.
+    pub fn hold(&self) -> Duration {
+        self.pulse() * 3
+    }
+
+    /// How long a leading hub may act on an acknowledged pulse: nine tenths of the hold.
+    pub fn lead(&self) -> Duration {
+        self.hold() * 9 / 10
+    }
+
+    /// How often a server is asked for its position: a sixth of the freshness bound.
+    pub fn sample(&self) -> Duration {
+        ms(self.fresh / 6)
+    }
+
+    /// How long a server may go unheard before it counts as gone: a quarter of the drain bound.
+    pub fn gone(&self) -> Duration {
+        ms(self.drain / 4)
+    }
+
+    /// How long one call to a peer or server's status may take.
+    pub fn call(&self) -> Duration {
+        ms(self.blueprint / 5)
+    }
+
+    /// How long a statement may take at most.
+    pub fn statement(&self) -> Duration {
+        ms(self.statement)
+    }
+
+    /// How long a transaction may sit idle.
+    pub fn idle(&self) -> Duration {
+        ms(self.idle)
+    }
+
+    /// How long work in flight may go on in a place that is being emptied: three fifths of the bound.
+    pub fn leave(&self) -> Duration {
+        ms(self.empty * 3 / 5)
+    }
+
+    /// The freshness bound.
+    pub fn fresh(&self) -> Duration {
+        ms(self.fresh)
+    }
+}
--- /dev/null
+++ b/base/src/edge/backend.rs
@@ -0,0 +1,94 @@
+//! The back ends' form: one HTTP connection is one database connection; reports come by `POST /report`.
+
+use bytes::Bytes;
+
+use crate::{http::Return, strict, words::Position};
+
+use super::caller::Verb;
+
+/// Header of an answer: the server's log position.
+pub const POSITION: &str = "x-position";
+/// Header of an answer: `1` when the server leads.
+pub const LEADS: &str = "x-leads";
+/// Header of an answer: `1` when the server is draining.
+pub const DRAINING: &str = "x-draining";
+/// Header of an answer: `no` when the server did not take the statement.
+pub const TAKEN: &str = "x-taken";
+/// Header of a request: the line on which the sender believes the server leads.
+pub const LINE: &str = "x-line";
+/// The path that wipes a connection's session state and any open transaction.
+pub const RESET: &str = "/reset";
+/// The path that tells the log position.
+pub const PLACE: &str = "/position";
+
+strict! {
+    /// What a server says of itself every few moments.
+    pub struct Report {
+        pub server: String,
+        pub area: String,
+        pub addr: String,
+        pub leads: bool,
+        pub draining: bool,
+        /// From 0, warm, to 1, stone cold.
+        pub cold: f64,
+        pub line: u64,
+        pub index: u64,
+    }
+}
+
+/// The path of a statement.
+pub fn path(verb: Verb) -> &'static str {
+    match verb {
+        Verb::Read => "/read",
+        Verb::Write => "/write",
+        Verb::Begin => "/begin",
+        Verb::Commit => "/commit",
+        Verb::Rollback => "/rollback",
+        Verb::Set => "/set",
+        Verb::Prepare => "/prepare",
+    }
+}
+
+/// What a server's answer tells beside its body.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Signs {
+    pub place: Option<Position>,
+    pub leads: bool,
+    pub draining: bool,
+    /// The server shows that it did not take the statement.
+    pub untaken: bool,
+    /// The server turned the statement away for load.
+    pub throttled: bool,
+    /// The server failed at the statement.
+    pub failed: bool,
+}
+
+/// Reads an answer's signs.
+pub fn signs(out: &Return) -> Signs {
+    Signs {
+        place: out.header(POSITION).and_then(|p| p.parse().ok()),
+        leads: out.header(LEADS) == Some("1"),
+        draining: out.header(DRAINING) == Some("1"),
+        untaken: out.header(TAKEN) == Some("no"),
+        throttled: out.code == 429,
+        failed: out.code >= 500,
+    }
+}
+
+strict! {
+    /// The call to the platform that names a new leader.
+    pub struct Naming {
+        pub group: String,
+        pub server: String,
+        pub line: u64,
+    }
+}
+
+/// The path on the platform that names a new leader.
+pub const LEAD: &str = "/lead";
+
+/// The body of the call that names a new leader.
+pub fn naming(group: &str, server: &str, line: u64) -> Bytes {
+    use nanoserde::SerJson;
+    Naming { group: group.into(), server: server.into(), line }.serialize_json().into()
+}
--- /dev/null
+++ b/base/src/edge/operator.rs
@@ -0,0 +1,163 @@
+//! The operators' form: doorway sets, changes to a few, emptied areas, hand-overs.
+
+use crate::strict;
+
+/// How much fresher than its neighbours a doorway's reads must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// Every acknowledged commit is seen.
+    Leader,
+    /// Commits older than the freshness bound are seen.
+    Bound,
+    /// The session's own writes are seen.
+    Session,
+    /// Any server of the set may answer.
+    Any,
+}
+
+impl Promise {
+    /// The word in the form.
+    pub fn word(self) -> &'static str {
+        match self {
+            Promise::Leader => "leader",
+            Promise::Bound => "bound",
+            Promise::Session => "session",
+            Promise::Any => "any",
+        }
+    }
+
+    /// Finds a promise by its word.
+    pub fn find(word: &str) -> Option<Self> {
+        [Promise::Leader, Promise::Bound, Promise::Session, Promise::Any].into_iter().find(|p| p.word() == word)
+    }
+}
+
+strict! {
+    /// A database name tied to a group and a promise.
+    pub struct Doorway {
+        pub name: String,
+        pub group: String,
+        pub promise: String,
+        /// Whether the leader reads when no follower can keep the promise.
+        pub fall: bool = true,
+    }
+}
+
+strict! {
+    /// A group of servers and how many connections each may have.
+    pub struct Group {
+        pub name: String,
+        pub servers: Vec<String>,
+        pub cap: u64 = 80,
+    }
+}
+
+strict! {
+    /// Time limits that operators may change.
+    pub struct Limits {
+        pub statement_ms: u64 = 4000,
+        pub idle_ms: u64 = 10000,
+    }
+}
+
+strict! {
+    /// A whole doorway set. With `after`, it is taken only if that is the newest sequence.
+    pub struct Set {
+        pub after: Option<u64> = None,
+        pub doorways: Vec<Doorway>,
+        pub groups: Vec<Group>,
+        pub limits: Option<Limits> = None,
+    }
+}
+
+strict! {
+    /// A change to a few doorways, against the sequence named in `after`.
+    pub struct Change {
+        pub after: u64,
+        pub put: Vec<Doorway> = Vec::new(),
+        pub drop: Vec<String> = Vec::new(),
+        pub limits: Option<Limits> = None,
+    }
+}
+
+strict! {
+    /// A whole set as read back.
+    pub struct Readback {
+        pub sequence: u64,
+        pub doorways: Vec<Doorway>,
+        pub groups: Vec<Group>,
+        pub limits: Limits,
+        pub emptied: Vec<String>,
+    }
+}
+
+strict! {
+    /// A wish that a server lead its group.
+    pub struct Handover {
+        pub server: String,
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { statement_ms: 4000, idle_ms: 10000 }
+    }
+}
+
+fn name_fault(what: &str, name: &str) -> Option<String> {
+    let good = !name.is_empty()
+        && name.len() <= 64
+        && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_' || b == b'.');
+    (!good).then(|| format!("{what} {name:?}: a name has 1 to 64 letters, digits, '-', '_' or '.'"))
+}
+
+/// Every fault of a whole set; empty when it can be taken.
+pub fn check(doorways: &[Doorway], groups: &[Group], limits: &Limits) -> Vec<String> {
+    let mut out = Vec::new();
+    if doorways.len() > 1000 {
+        out.push(format!("doorways: {} of at most 1000", doorways.len()));
+    }
+    if groups.len() > 100 {
+        out.push(format!("groups: {} of at most 100", groups.len()));
+    }
+    let mut seen = std::collections::BTreeSet::new();
+    for d in doorways {
+        out.extend(name_fault("doorway", &d.name));
+        if !seen.insert(&d.name) {
+            out.push(format!("doorway {:?}: named twice", d.name));
+        }
+        if !groups.iter().any(|g| g.name == d.group) {
+            out.push(format!("doorway {:?}: no group {:?}", d.name, d.group));
+        }
+        if Promise::find(&d.promise).is_none() {
+            out.push(format!("doorway {:?}: promise {:?} is not leader, bound, session or any", d.name, d.promise));
+        }
+    }
+    let mut seen = std::collections::BTreeSet::new();
+    let mut homes = std::collections::BTreeSet::new();
+    for g in groups {
+        out.extend(name_fault("group", &g.name));
+        if !seen.insert(&g.name) {
+            out.push(format!("group {:?}: named twice", g.name));
+        }
+        if g.servers.is_empty() || g.servers.len() > 15 {
+            out.push(format!("group {:?}: {} servers, where 1 to 15 belong", g.name, g.servers.len()));
+        }
+        for s in &g.servers {
+            out.extend(name_fault("server", s));
+            if !homes.insert(s) {
+                out.push(format!("server {s:?}: named twice"));
+            }
+        }
+        if !(4..=10000).contains(&g.cap) {
+            out.push(format!("group {:?}: cap {} is not within 4 to 10000", g.name, g.cap));
+        }
+    }
+    if !(100..=600_000).contains(&limits.statement_ms) {
+        out.push(format!("limits: statement_ms {} is not within 100 to 600000", limits.statement_ms));
+    }
+    if !(100..=3_600_000).contains(&limits.idle_ms) {
+        out.push(format!("limits: idle_ms {} is not within 100 to 3600000", limits.idle_ms));
+    }
+    out
+}
--- /dev/null
+++ b/base/src/http/client.rs
@@ -0,0 +1,97 @@
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, client::conn::http1};
+
+use super::Return;
+use crate::seam::{Env, Job};
+
+/// Why a call brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// Not a byte of it left.
+    #[error("not sent")]
+    Unsent,
+    /// It may have been taken.
+    #[error("sent, but not answered")]
+    Unsure,
+}
+
+/// One HTTP connection to a server or peer.
+pub struct Client {
+    env: Env,
+    send: http1::SendRequest<Full<Bytes>>,
+    most: usize,
+    _job: Job,
+}
+
+impl Client {
+    /// Connects within `span`; answers may be up to `most` bytes.
+    pub async fn connect(env: &Env, addr: SocketAddr, span: Duration, most: usize) -> Result<Self, Fault> {
+        let io = env.connect(addr, span).await.map_err(|_| Fault::Unsent)?;
+        let (send, conn) = http1::handshake(io).await.map_err(|_| Fault::Unsent)?;
+        let job = env.spawn(async move {
+            let _ = conn.await;
+        });
+        Ok(Self { env: env.clone(), send, most, _job: job })
+    }
+
+    /// Whether the connection can still carry a call.
+    pub fn open(&self) -> bool {
+        !self.send.is_closed()
+    }
+
+    /// Sends one request and waits up to `span` for its whole answer.
+    pub async fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        head: &[(&str, String)],
+        body: Bytes,
+        span: Duration,
+    ) -> Result<Return, Fault> {
+        if self.send.ready().await.is_err() {
+            return Err(Fault::Unsent);
+        }
+        let mut req = Request::builder().method(method).uri(path).header("host", "portspoke");
+        for (n, v) in head {
+            req = req.header(*n, v);
+        }
+        let req = req.body(Full::new(body)).map_err(|_| Fault::Unsent)?;
+        let most = self.most;
+        let send = &mut self.send;
+        let work = async move {
+            let res = match send.try_send_request(req).await {
+                Ok(r) => r,
+                Err(mut e) => {
+                    return Err(if e.take_message().is_some() { Fault::Unsent } else { Fault::Unsure });
+                }
+            };
+            let (head, body) = res.into_parts();
+            let body = Limited::new(body, most).collect().await.map_err(|_| Fault::Unsure)?.to_bytes();
+            let list = head.headers.iter();
+            let list = list.filter_map(|(n, v)| Some((n.as_str().to_string(), v.to_str().ok()?.to_string())));
+            let close = head.headers.get("connection").is_some_and(|v| v.as_bytes() == b"close");
+            Ok(Return { code: head.status.as_u16(), head: list.collect(), body, close })
+        };
+        match self.env.within(span, work).await {
+            Ok(out) => out,
+            Err(_) => Err(Fault::Unsure),
+        }
+    }
+
+    /// Connects, sends one request, closes.
+    pub async fn once(
+        env: &Env,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        head: &[(&str, String)],
+        body: Bytes,
+        span: Duration,
+    ) -> Result<Return, Fault> {
+        let mut line = Self::connect(env, addr, span, 1 << 22).await?;
+        line.call(method, path, head, body, span).await
+    }
+}
--- /dev/null
+++ b/base/src/http/server.rs
@@ -0,0 +1,163 @@
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    future::{Future, poll_fn},
+    rc::Rc,
+    task::Poll,
+};
+
+use bytes::Bytes;
+use futures::{FutureExt, pin_mut, select_biased};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+
+use super::{Ask, Return};
+use crate::{
+    bell::Bell,
+    edge,
+    error::Kind,
+    seam::{Env, Listener, Local, Part, Stream},
+};
+
+/// What one connection of a door talks to; dropped when the connection ends.
+pub trait Session {
+    /// Answers one request.
+    fn call(&self, ask: Ask) -> Local<Return>;
+    /// Whether the connection may be closed between two requests.
+    fn free(&self) -> bool {
+        true
+    }
+}
+
+/// Bounds and the closing state that all connections of a door share.
+#[derive(Clone)]
+pub struct Door {
+    /// Rung when the door begins to close.
+    pub bell: Bell,
+    /// Whether the door is closing.
+    pub closing: Rc<Cell<bool>>,
+    /// How many connections are open.
+    pub open: Rc<Cell<usize>>,
+    /// How many may be open.
+    pub most: usize,
+    /// How large a body may be.
+    pub body: usize,
+}
+
+impl Door {
+    /// A door with bounds on connections and body size.
+    pub fn new(most: usize, body: usize) -> Self {
+        Self { bell: Bell::default(), closing: Rc::default(), open: Rc::default(), most, body }
+    }
+
+    /// Begins to close: each connection ends after the answer it owes.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.bell.ring();
+    }
+}
+
+struct Count(Rc<Cell<usize>>);
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Accepts connections for as long as the listener lives.
+pub async fn serve(
+    env: Env,
+    sock: Rc<dyn Listener>,
+    door: Door,
+    make: Rc<dyn Fn() -> Rc<dyn Session>>,
+) -> std::io::Result<()> {
+    loop {
+        let io = match sock.accept().await {
+            Ok(io) => io,
+            Err(e) => {
+                env.log(Part::Door, format!("accept failed: {e}"));
+                env.sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if door.open.get() >= door.most {
+            env.log(Part::Door, "too many connections; one was closed");
+            continue;
+        }
+        door.open.set(door.open.get() + 1);
+        let count = Count(door.open.clone());
+        let sess = make();
+        let door = door.clone();
+        env.spawn(async move {
+            let _count = count;
+            one(io, door, sess).await;
+        })
+        .detach();
+    }
+}
+
+async fn one(io: Box<dyn Stream>, door: Door, sess: Rc<dyn Session>) {
+    let call = {
+        let (sess, door) = (sess.clone(), door.clone());
+        service_fn(move |req: Request<Incoming>| {
+            let (sess, door) = (sess.clone(), door.clone());
+            async move {
+                let mut out = match read(req, door.body).await {
+                    Ok(ask) => sess.call(ask).await,
+                    Err(kind) => edge::refuse(kind, "", None),
+                };
+                if door.closing.get() && sess.free() {
+                    out.close = true;
+                }
+                Ok::<_, Infallible>(write(out))
+            }
+        })
+    };
+    let conn = http1::Builder::new().serve_connection(io, call);
+    pin_mut!(conn);
+    let mut told = false;
+    loop {
+        let bell = door.bell.clone();
+        let seen = bell.count();
+        if door.closing.get() && !told && sess.free() {
+            told = true;
+            conn.as_mut().graceful_shutdown();
+        }
+        let ring = bell.after(seen).fuse();
+        pin_mut!(ring);
+        select_biased! {
+            _ = poll_fn(|cx| match conn.as_mut().poll(cx) {
+                Poll::Ready(_) => Poll::Ready(()),
+                Poll::Pending => Poll::Pending,
+            }).fuse() => return,
+            _ = ring => {}
+        }
+    }
+}
+
+async fn read(req: Request<Incoming>, most: usize) -> Result<Ask, Kind> {
+    let (head, body) = req.into_parts();
+    let body = match Limited::new(body, most).collect().await {
+        Ok(b) => b.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => return Err(Kind::TooLarge),
+        Err(_) => return Err(Kind::Malformed),
+    };
+    let path = head.uri.path_and_query().map(|p| p.as_str().to_string()).unwrap_or_default();
+    Ok(Ask { method: head.method, path, head: head.headers, body })
+}
+
+fn write(out: Return) -> Response<Full<Bytes>> {
+    let mut res = Response::builder().status(out.code);
+    for (n, v) in &out.head {
+        res = res.header(n, v);
+    }
+    if out.close {
+        res = res.header("connection", "close");
+    }
+    res.body(Full::new(out.body)).unwrap_or_else(|_| {
+        let mut r = Response::new(Full::new(Bytes::new()));
+        *r.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+        r
+    })
+}
--- /dev/null
+++ b/base/src/lib.rs
@@ -0,0 +1,17 @@
+//! House words shared by every part: seams to the outside, errors, bounds, settings, outer HTTP forms.
+
+pub mod bell;
+pub mod boot;
+pub mod bounds;
+pub mod edge;
+pub mod error;
+pub mod http;
+pub mod seam;
+pub mod settings;
+pub mod strict;
+pub mod tree;
+pub mod words;
+
+pub use bounds::Bounds;
+pub use error::Kind;
+pub use seam::{Env, Job, Part};
--- /dev/null
+++ b/base/src/seam/env.rs
@@ -0,0 +1,107 @@
+use std::{future::Future, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+
+use futures::{
+    future::{AbortHandle, Abortable, Either, select},
+    FutureExt,
+};
+
+use super::{Disk, Listener, Part, Stream, World};
+
+/// A handle to the world a task runs in; cheap to clone.
+#[derive(Clone)]
+pub struct Env(Rc<dyn World>);
+
+/// A span ran out before the work was done.
+#[derive(Debug, thiserror::Error)]
+#[error("the due passed")]
+pub struct Late;
+
+/// A started task, ended when this is dropped.
+#[must_use = "a job ends when dropped"]
+pub struct Job(Option<AbortHandle>);
+
+impl Job {
+    /// Lets the task run on by itself.
+    pub fn detach(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        if let Some(h) = &self.0 {
+            h.abort();
+        }
+    }
+}
+
+impl Env {
+    /// Wraps a world.
+    pub fn new(world: Rc<dyn World>) -> Self {
+        Self(world)
+    }
+
+    /// Time since the world's start.
+    pub fn now(&self) -> Duration {
+        self.0.now()
+    }
+
+    /// Waits for a span.
+    pub async fn sleep(&self, span: Duration) {
+        self.0.sleep(span).await
+    }
+
+    /// Starts a task; it ends with the returned job.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Job {
+        let (hand, reg) = AbortHandle::new_pair();
+        self.0.spawn(Box::pin(Abortable::new(task, reg).map(|_| ())));
+        Job(Some(hand))
+    }
+
+    /// Runs a future for at most `span`.
+    pub async fn within<T>(&self, span: Duration, work: impl Future<Output = T>) -> Result<T, Late> {
+        let work = pin!(work);
+        match select(work, self.0.sleep(span)).await {
+            Either::Left((out, _)) => Ok(out),
+            Either::Right(_) => Err(Late),
+        }
+    }
+
+    /// A random number.
+    pub fn rand(&self) -> u64 {
+        self.0.rand()
+    }
+
+    /// A random number below `top`.
+    pub fn below(&self, top: u64) -> u64 {
+        if top == 0 { 0 } else { self.0.rand() % top }
+    }
+
+    /// Binds an address.
+    pub async fn listen(&self, addr: SocketAddr) -> io::Result<Rc<dyn Listener>> {
+        self.0.listen(addr).await
+    }
+
+    /// Opens a stream within `span`.
+    pub async fn connect(&self, addr: SocketAddr, span: Duration) -> io::Result<Box<dyn Stream>> {
+        match self.within(span, self.0.connect(addr)).await {
+            Ok(r) => r,
+            Err(Late) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// The data folder, if there is one.
+    pub fn disk(&self) -> Option<Rc<dyn Disk>> {
+        self.0.disk()
+    }
+
+    /// Writes a log line under the part's prefix.
+    pub fn log(&self, part: Part, text: impl AsRef<str>) {
+        self.0.log(part, text.as_ref())
+    }
+
+    /// Ends the process, as after a failed sync.
+    pub fn die(&self, text: &str) {
+        self.0.die(text)
+    }
+}
--- /dev/null
+++ b/base/src/words.rs
@@ -0,0 +1,34 @@
+//! Small words used everywhere: positions, random steps.
+
+use std::{cell::Cell, fmt, str::FromStr};
+
+/// A place in a server's log: the line (one per election) and the index on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Position {
+    pub line: u64,
+    pub index: u64,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.line, self.index)
+    }
+}
+
+impl FromStr for Position {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let (l, i) = text.split_once('.').ok_or(())?;
+        Ok(Self { line: l.parse().map_err(|_| ())?, index: i.parse().map_err(|_| ())? })
+    }
+}
+
+/// One step of a small seeded generator (splitmix).
+pub fn step(seed: &Cell<u64>) -> u64 {
+    let s = seed.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+    seed.set(s);
+    let z = (s ^ (s >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/hub/src/agree/campaign.rs
@@ -0,0 +1,188 @@
+use wire::{Body, Home, Image, PulseReturn, VoteReturn};
+
+use super::{Agree, Role};
+use crate::store::{Kept, Store};
+
+impl Agree {
+    /// What is due at each pulse.
+    pub(super) async fn tick(&self, store: &mut Store) {
+        let now = self.env.now();
+        let (leading, blank, due, lost) = {
+            let s = self.state.borrow();
+            let leading = s.role == Role::Leading;
+            let patience = self.bounds.hold() * 4;
+            let heard = s.heard(&self.who.name, &self.env).unwrap_or(s.led_since).max(s.led_since);
+            let due = match &s.role {
+                Role::Following => now >= s.hold,
+                Role::Asking { since, .. } => now >= *since + self.bounds.pulse() * 2,
+                Role::Leading => false,
+            };
+            (leading, s.blank, due && !s.leaving, leading && now > heard + patience)
+        };
+        if lost {
+            self.follow("");
+            self.state.borrow_mut().hold = now + self.bounds.pulse();
+        } else if leading {
+            self.readmit(store).await;
+            self.pulse();
+        } else if blank {
+            self.form(store).await;
+        } else if due {
+            // Chance keeps two askers from splitting the votes for ever.
+            if self.env.below(2) == 0 {
+                self.campaign(store, false).await;
+            }
+        }
+        self.bell.ring();
+    }
+
+    /// Asks to lead: first on trial, so that a cut-off hub doesn't raise terms; at once when named.
+    pub(super) async fn campaign(&self, store: &mut Store, named: bool) {
+        if !named {
+            self.ask(true, false);
+            return;
+        }
+        self.stand(store, true).await;
+    }
+
+    async fn stand(&self, store: &mut Store, named: bool) {
+        let mut kept = self.state.borrow().kept.clone();
+        kept.term += 1;
+        kept.vote = self.who.name.clone();
+        self.save(store, kept).await;
+        self.ask(false, named);
+    }
+
+    fn ask(&self, trial: bool, named: bool) {
+        let mut s = self.state.borrow_mut();
+        s.nonce += 1;
+        let nonce = s.nonce;
+        s.role = Role::Asking { trial, nonce, since: self.env.now(), got: Vec::new(), named };
+        let vote = s.vote(nonce, trial, named);
+        for p in s.peers.values() {
+            if let Some(out) = &p.out {
+                out.send(Body::Vote(vote.clone()));
+            }
+        }
+    }
+
+    /// Counts a vote.
+    pub(super) async fn on_vote_return(&self, store: &mut Store, from: &str, v: VoteReturn) {
+        let (won, trial, named) = {
+            let mut s = self.state.borrow_mut();
+            if let Some(p) = s.peers.get_mut(from) {
+                p.born = v.born;
+                p.blank = v.blank;
+            }
+            let counts = v.granted && s.counts(from, v.born) && s.counts(&self.who.name, s.kept.born);
+            let counts = counts || (v.granted && self.loose.blank_votes);
+            match &mut s.role {
+                Role::Asking { trial, nonce, got, named, .. } if *nonce == v.nonce => {
+                    if counts && !got.contains(&from.to_string()) {
+                        got.push(from.into());
+                    }
+                    (!got.is_empty(), *trial, *named)
+                }
+                _ => return,
+            }
+        };
+        if !won {
+            return;
+        }
+        if trial {
+            self.stand(store, named).await;
+        } else {
+            self.begin(store).await;
+        }
+    }
+
+    /// Begins to lead: the newest image is written again under the own term.
+    async fn begin(&self, store: &mut Store) {
+        let image = {
+            let mut s = self.state.borrow_mut();
+            s.role = Role::Leading;
+            s.led_since = self.env.now();
+            s.committed = 0;
+            s.public = None;
+            s.peers.values_mut().for_each(|p| {
+                p.acked = None;
+                p.at = (0, 0);
+                p.pulses.clear();
+            });
+            s.kept.image.clone().unwrap_or_default()
+        };
+        self.write(store, image).await;
+        let term = self.state.borrow().kept.term;
+        self.log(format!("leading in term {term}"));
+        self.pulse();
+    }
+
+    /// Takes in what another hub has synced.
+    pub(super) async fn on_pulse_return(&self, _store: &mut Store, from: &str, r: PulseReturn) {
+        {
+            let mut s = self.state.borrow_mut();
+            let term = s.kept.term;
+            let leading = s.role == Role::Leading;
+            let Some(p) = s.peers.get_mut(from) else { return };
+            p.born = r.born;
+            p.blank = r.blank;
+            if r.term > term {
+                drop(s);
+                self.follow("");
+                return;
+            }
+            if !leading || r.term != term {
+                return;
+            }
+            let sent = p.pulses.iter().find(|x| x.0 == r.nonce).map(|x| x.1);
+            if let (true, Some(t)) = (r.taken, sent) {
+                p.at = (r.at_term, r.at_count);
+                p.acked = Some(p.acked.map_or(t, |a| a.max(t)));
+            }
+        }
+        self.tally();
+        self.bell.ring();
+    }
+
+    /// Admits a hub whose disk is new, once the others have it written down.
+    async fn readmit(&self, store: &mut Store) {
+        let image = {
+            let s = self.state.borrow();
+            if s.committed == 0 || s.committed != s.kept.at_count {
+                return;
+            }
+            let Some(image) = &s.kept.image else { return };
+            let new = s.peers.iter().find(|(n, p)| p.blank && p.born != 0 && p.out.is_some() && !s.counts(n, p.born));
+            let Some((name, p)) = new else { return };
+            let mut image: Image = image.clone();
+            image.homes.retain(|h| h.name != *name);
+            image.homes.push(Home { name: name.clone(), born: p.born });
+            self.log(format!("{name} has a new disk; admitting it"));
+            image
+        };
+        self.write(store, image).await;
+        self.pulse();
+        self.tally();
+    }
+
+    /// Forms the very first image, if all three say that they remember nothing and this is the first by name.
+    async fn form(&self, store: &mut Store) {
+        let kept = {
+            let s = self.state.borrow();
+            let blank = s.peers.values().filter(|p| p.blank && p.born != 0 && p.out.is_some()).count();
+            let first = s.peers.keys().all(|n| self.who.name < *n);
+            if blank != self.who.seeds.len() - 1 || !first {
+                return;
+            }
+            let mut homes: Vec<_> = s.peers.iter().map(|(n, p)| Home { name: n.clone(), born: p.born }).collect();
+            homes.push(Home { name: self.who.name.clone(), born: s.kept.born });
+            let limits = wire::Limits { statement_ms: 4000, idle_ms: 10000 };
+            let image = Image { homes, limits: Some(limits), ..Image::default() };
+            Kept { term: 1, vote: self.who.name.clone(), image: Some(image), ..s.kept.clone() }
+        };
+        self.log("all three hubs are blank; forming");
+        self.save(store, kept).await;
+        self.state.borrow_mut().blank = false;
+        self.begin(store).await;
+    }
+}
--- /dev/null
+++ b/hub/src/duty/lead.rs
@@ -0,0 +1,279 @@
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use base::{
+    Kind,
+    edge::backend,
+    http::Client,
+    seam::{Job, Part},
+    words::Position,
+};
+use wire::{Elect, Group, Image};
+
+use super::Duty;
+
+/// Where a group's leadership stands.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    pub line: u64,
+    /// Whether leader grants are given.
+    pub granting: bool,
+    /// Whether the elected server was seen leading on its line, with a second server following it.
+    pub proven: bool,
+    /// A server that an operator wishes to lead.
+    pub wish: Option<String>,
+    /// Why the next election is held.
+    pub why: String,
+}
+
+/// A server that could lead.
+struct Runner {
+    name: String,
+    place: Position,
+    fit: bool,
+    cold: u32,
+}
+
+impl Duty {
+    /// Keeps one task for each group.
+    pub(super) async fn tends(self: Rc<Self>) {
+        let mut jobs: BTreeMap<String, Job> = BTreeMap::new();
+        loop {
+            let groups: Vec<String> =
+                self.agree.image().iter().flat_map(|i| i.groups.iter().map(|g| g.name.clone())).collect();
+            jobs.retain(|g, _| groups.contains(g));
+            self.standings.borrow_mut().retain(|g, _| groups.contains(g));
+            for g in groups {
+                if !jobs.contains_key(&g) {
+                    self.standings.borrow_mut().entry(g.clone()).or_default();
+                    let me = self.clone();
+                    let name = g.clone();
+                    jobs.insert(g, self.env.spawn(async move { me.tend(name).await }));
+                }
+            }
+            self.env.sleep(self.bounds.pulse()).await;
+        }
+    }
+
+    fn edit(&self, group: &str, with: impl FnOnce(&mut Standing)) {
+        if let Some(s) = self.standings.borrow_mut().get_mut(group) {
+            with(s);
+        }
+    }
+
+    /// Standings as operators read them.
+    pub fn standings(&self) -> Vec<(String, Standing)> {
+        self.standings.borrow().iter().map(|(g, s)| (g.clone(), s.clone())).collect()
+    }
+
+    /// An operator's wish that a server lead its group.
+    pub fn wish(&self, server: &str) -> Result<(), Kind> {
+        let image = self.agree.image().ok_or(Kind::Unconfirmed)?;
+        let group = image.home(server).ok_or(Kind::Invalid)?;
+        self.edit(&group.name, |s| s.wish = Some(server.into()));
+        Ok(())
+    }
+
+    async fn tend(&self, group: String) {
+        loop {
+            self.env.sleep(self.bounds.pulse() / 2).await;
+            if !self.agree.leads() {
+                continue;
+            }
+            let Some(image) = self.agree.image() else { continue };
+            let Some(g) = image.groups.iter().find(|x| x.name == group).cloned() else { continue };
+            let st = self.standings.borrow().get(&group).cloned().unwrap_or_default();
+            match image.elect(&group).cloned() {
+                None => self.elect(&g, None, false).await,
+                Some(e) => self.mind(&g, &e, st, &image).await,
+            }
+        }
+    }
+
+    async fn mind(&self, g: &Group, e: &Elect, st: Standing, image: &Image) {
+        let proven = st.proven && st.line == e.line;
+        self.edit(&g.name, |s| {
+            s.line = e.line;
+            s.proven = proven;
+        });
+        if !proven {
+            if self.proof(g, e) {
+                self.log(Part::Elect, format!("{} leads {} on line {}", e.server, g.name, e.line));
+                self.edit(&g.name, |s| {
+                    s.proven = true;
+                    s.granting = true;
+                });
+                self.bell.ring();
+                return;
+            }
+            self.edit(&g.name, |s| s.granting = false);
+            let since = self.env.now();
+            self.name(&g.name, e).await;
+            let wait = self.bell.until(|| self.proof(g, e).then_some(()));
+            if self.env.within(self.bounds.gone(), wait).await.is_err() && self.dead(&e.server, since) {
+                self.edit(&g.name, |s| s.why = format!("{} did not take the lead", e.server));
+                self.elect(g, Some(e), false).await;
+            }
+            return;
+        }
+        let told = |s: &str| self.servers.borrow().get(s).cloned();
+        let leader = told(&e.server);
+        if self.dead(&e.server, self.env.now()) {
+            self.edit(&g.name, |s| s.why = format!("{} is gone", e.server));
+            self.elect(g, Some(e), false).await;
+            return;
+        }
+        let away = leader.is_some_and(|t| t.draining || image.emptied.contains(&t.area));
+        let wish = st.wish.filter(|w| *w != e.server && g.servers.contains(w));
+        if !away && wish.is_none() {
+            self.edit(&g.name, |s| {
+                s.granting = true;
+                s.wish = None;
+            });
+            return;
+        }
+        if self.runners(g, image, Duration::ZERO).iter().any(|r| r.fit && r.name != e.server) {
+            self.edit(&g.name, |s| {
+                s.why = format!("{} is to be relieved", e.server);
+                s.wish = None;
+            });
+            self.elect(g, Some(e), true).await;
+        }
+    }
+
+    /// The elected server leads on its line, and a second server holds the line's first entry.
+    fn proof(&self, g: &Group, e: &Elect) -> bool {
+        let seen = self.seen.borrow();
+        let leads = seen.get(&e.server).is_some_and(|s| s.leads && s.place.line == e.line);
+        let second = g.servers.len() == 1
+            || g.servers.iter().any(|s| *s != e.server && seen.get(s).is_some_and(|x| x.place.line == e.line));
+        leads && second
+    }
+
+    /// Whether more than half of those who look at a server have gone unanswered for too long.
+    fn dead(&self, server: &str, now: Duration) -> bool {
+        let most = self.bounds.gone();
+        let fresh = self.env.now().saturating_sub(self.bounds.beat() * 4);
+        let (_, since) = self.agree.term();
+        if now < since + most {
+            return false;
+        }
+        let own = self.seen.borrow().get(server).is_none_or(|s| now.saturating_sub(s.at) > most);
+        let mut votes = vec![own];
+        for seat in self.seats.borrow().values().filter(|s| !s.hub && s.heard > fresh) {
+            if let Some(x) = seat.sights.iter().find(|x| x.server == server) {
+                votes.push(Duration::from_millis(x.age) > most);
+            }
+        }
+        votes.iter().filter(|v| **v).count() * 2 > votes.len()
+    }
+
+    fn runners(&self, g: &Group, image: &Image, since: Duration) -> Vec<Runner> {
+        let seen = self.seen.borrow();
+        let servers = self.servers.borrow();
+        let row = |s: &String| {
+            let x = seen.get(s)?;
+            let t = servers.get(s)?;
+            (x.asked >= since).then(|| Runner {
+                name: s.clone(),
+                place: x.place,
+                fit: !t.draining && !t.gone && !image.emptied.contains(&t.area),
+                cold: (t.cold * 20.0) as u32,
+            })
+        };
+        g.servers.iter().filter_map(row).collect()
+    }
+
+    /// Chooses a leader once no older grant can stand; `planned` lets the present one be caught up with first.
+    async fn elect(&self, g: &Group, old: Option<&Elect>, planned: bool) {
+        let start = self.env.now();
+        if old.is_some() {
+            self.edit(&g.name, |s| {
+                s.granting = false;
+                s.proven = false;
+            });
+            let why = self.standings.borrow().get(&g.name).map(|s| s.why.clone()).unwrap_or_default();
+            self.log(Part::Elect, format!("new leader needed for {}: {why}", g.name));
+            self.bell.ring();
+            while !self.ledger.borrow().leads_out(&g.name, self.env.now()) && !self.tricks.no_wait {
+                self.env.sleep(self.bounds.pulse() / 4).await;
+                if !self.agree.leads() {
+                    return;
+                }
+            }
+        }
+        let since = self.env.now();
+        let need = g.servers.len().saturating_sub(1).max(1);
+        let need = if self.tricks.read_one { 1 } else { need };
+        let limit = self.bounds.leave();
+        let chosen = loop {
+            self.env.sleep(self.bounds.pulse() / 4).await;
+            if !self.agree.leads() {
+                return;
+            }
+            let Some(image) = self.agree.image() else { return };
+            let rows = self.runners(g, &image, since);
+            if rows.len() < need {
+                if planned && self.env.now() - start > limit {
+                    return;
+                }
+                continue;
+            }
+            // Give the last one a moment to answer too, so that a tie is broken well.
+            if rows.len() < g.servers.len() && self.env.now() - since < self.bounds.sample() * 2 {
+                continue;
+            }
+            let top = rows.iter().map(|r| r.place).max().unwrap_or_default();
+            let wish = |r: &Runner| planned && old.is_some_and(|o| o.server == r.name);
+            let best = rows
+                .iter()
+                .filter(|r| r.place == top)
+                .min_by_key(|r| (wish(r), !r.fit, r.cold, !old.is_some_and(|o| o.server == r.name), r.name.clone()));
+            let Some(best) = best else { continue };
+            let late = self.env.now() - since > limit / 2;
+            if planned && (!best.fit || wish(best)) {
+                if late {
+                    return;
+                }
+                continue;
+            }
+            let line = rows.iter().map(|r| r.place.line).max().unwrap_or(0);
+            break (best.name.clone(), line.max(old.map_or(0, |o| o.line)) + 1);
+        };
+        let (server, line) = chosen;
+        let elect = Elect { group: g.name.clone(), line, server: server.clone() };
+        self.log(Part::Elect, format!("electing {server} for {} on line {line}", g.name));
+        let before = old.map_or(0, |o| o.line);
+        let put = elect.clone();
+        let out = self
+            .agree
+            .propose(move |image| {
+                if image.elect(&put.group).map_or(0, |e| e.line) != before {
+                    return Err(Kind::Conflict);
+                }
+                let mut image = image.clone();
+                image.elects.retain(|e| e.group != put.group);
+                image.elects.push(put);
+                Ok(image)
+            })
+            .await;
+        if out.is_ok() {
+            self.publish();
+            self.name(&g.name, &elect).await;
+        }
+    }
+
+    /// Calls the platform with the elected leader's name; safe to repeat.
+    async fn name(&self, group: &str, e: &Elect) {
+        let Some(addr) = self.platform.get() else {
+            self.log(Part::Elect, "no platform is set; nobody can be named leader");
+            return;
+        };
+        let body = backend::naming(group, &e.server, e.line);
+        let span = self.bounds.call();
+        match Client::once(&self.env, addr, "POST", backend::LEAD, &[], body, span).await {
+            Ok(out) if out.code < 300 => {}
+            Ok(out) => self.log(Part::Elect, format!("the platform answered {} to naming {}", out.code, e.server)),
+            Err(err) => self.log(Part::Elect, format!("the call naming {} failed: {err}", e.server)),
+        }
+    }
+}
--- /dev/null
+++ b/hub/src/duty/ledger.rs
@@ -0,0 +1,124 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use wire::Beat;
+
+/// Connections of each server that hubs keep for reading positions.
+const KEPT_BACK: u64 = 3;
+
+/// How many connections nodes may share out, by the cap and how cold the server is.
+pub fn cap(cap: u64, cold: f64) -> u64 {
+    let all = cap.saturating_sub(KEPT_BACK).max(1);
+    ((all as f64 * (1.0 - cold)).floor() as u64).clamp(1, all)
+}
+
+#[derive(Clone, Default)]
+struct Lot {
+    count: u64,
+    until: Duration,
+    want: u64,
+    /// The beat that the newest return answered.
+    nonce: u64,
+    /// When the want was last told.
+    told: Duration,
+}
+
+/// What has been given to whom and until when it counts as out.
+#[derive(Default)]
+pub struct Ledger {
+    /// Before this an earlier leading hub's grants may stand.
+    grace: Duration,
+    shares: BTreeMap<String, BTreeMap<String, Lot>>,
+    leads: BTreeMap<String, BTreeMap<String, (u64, Duration)>>,
+}
+
+impl Ledger {
+    /// A ledger whose unknown grants have run out at `grace`.
+    pub fn new(grace: Duration) -> Self {
+        Self { grace, ..Self::default() }
+    }
+
+    /// Takes in what a node says it still holds.
+    pub fn told(&mut self, b: &Beat, now: Duration) {
+        for h in &b.shares {
+            let lot = self.shares.entry(h.server.clone()).or_default().entry(b.name.clone()).or_default();
+            lot.want = h.want;
+            lot.told = now;
+            // A beat tells of the past: only a count it holds after the newest return lowers what is out.
+            if h.count < lot.count && b.heard >= lot.nonce {
+                lot.count = h.count;
+            }
+            if now < self.grace {
+                lot.count = lot.count.max(h.count);
+            }
+        }
+        for (group, all) in &mut self.leads {
+            if let Some((nonce, _)) = all.get(&b.name) {
+                if b.leaving || (b.heard > *nonce && !b.leads.iter().any(|l| l.group == *group)) {
+                    all.remove(&b.name);
+                }
+            }
+        }
+        if b.leaving {
+            for all in self.shares.values_mut() {
+                all.remove(&b.name);
+            }
+        }
+    }
+
+    /// Notes a leader grant.
+    pub fn lead_given(&mut self, group: &str, node: &str, nonce: u64, until: Duration) {
+        self.leads.entry(group.into()).or_default().insert(node.into(), (nonce, until));
+    }
+
+    /// Whether no leader grant of a group can still stand.
+    pub fn leads_out(&self, group: &str, now: Duration) -> bool {
+        now >= self.grace && self.leads.get(group).is_none_or(|all| all.values().all(|(_, until)| now >= *until))
+    }
+
+    /// Gives a node its share of a server, never more than what is not out elsewhere.
+    pub fn share(&mut self, server: &str, to: (&str, u64), cap: u64, now: Duration, until: Duration) -> u64 {
+        let (node, nonce) = to;
+        let grace = now < self.grace;
+        let all = self.shares.entry(server.into()).or_default();
+        all.retain(|_, l| now < l.until || now < l.told + (until - now));
+        for l in all.values_mut() {
+            if now >= l.until && !grace {
+                l.count = 0;
+            }
+        }
+        let lot = all.get(node).cloned().unwrap_or_default();
+        let fair = fair(all.iter().map(|(n, l)| (n.as_str(), l.want)), cap, node);
+        let others: u64 = all.iter().filter(|(n, _)| *n != node).map(|(_, l)| l.count).sum();
+        let free = cap.saturating_sub(others);
+        let give = if grace { lot.count.min(cap) } else { fair.min(free) };
+        let lot = all.entry(node.into()).or_default();
+        // What was given stays out until the node tells that it holds less, or until it has run out.
+        lot.count = lot.count.max(give);
+        lot.until = until;
+        lot.nonce = nonce;
+        give
+    }
+
+    /// What is out now: server, node, count.
+    pub fn out(&self, now: Duration) -> Vec<(String, String, u64)> {
+        let rows = self.shares.iter().flat_map(|(s, all)| all.iter().map(move |(n, l)| (s, n, l)));
+        rows.filter(|(_, _, l)| now < l.until).map(|(s, n, l)| (s.clone(), n.clone(), l.count)).collect()
+    }
+}
+
+/// Divides a cap by wants: everyone gets what it wants up to an even part, the rest goes to those who want more.
+fn fair<'a>(wants: impl Iterator<Item = (&'a str, u64)>, cap: u64, node: &str) -> u64 {
+    let mut rows: Vec<(u64, &str)> = wants.map(|(n, w)| (w.max(1), n)).collect();
+    rows.sort();
+    let mut left = cap;
+    let mut heads = rows.len() as u64;
+    for (want, name) in rows {
+        let part = want.min(left / heads.max(1));
+        if name == node {
+            return part;
+        }
+        left -= part;
+        heads -= 1;
+    }
+    0
+}
--- /dev/null
+++ b/hub/src/duty/mod.rs
@@ -0,0 +1,264 @@
+//! What the leading hub does: knows servers and nodes as they tell, gives grants, elects leaders, sends news.
+
+mod ledger;
+mod lead;
+mod probe;
+mod registry;
+mod show;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{
+    Bounds,
+    bell::Bell,
+    edge::backend::Report,
+    seam::{Env, Part},
+};
+use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
+
+use crate::{agree::Agree, run::Tricks};
+
+pub use lead::Standing;
+use ledger::Ledger;
+use probe::Seen;
+use registry::{Seat, Told};
+
+/// The leading hub's desk; empty on the others.
+pub struct Duty {
+    pub(crate) env: Env,
+    pub(crate) agree: Rc<Agree>,
+    pub(crate) relay: Rc<Relay>,
+    pub(crate) bounds: Bounds,
+    pub(crate) platform: Cell<Option<SocketAddr>>,
+    servers: RefCell<BTreeMap<String, Told>>,
+    seats: RefCell<BTreeMap<String, Seat>>,
+    ledger: RefCell<Ledger>,
+    standings: RefCell<BTreeMap<String, Standing>>,
+    seen: RefCell<BTreeMap<String, Seen>>,
+    term: Cell<u64>,
+    count: Cell<u64>,
+    /// Rung when servers, nodes or grants moved.
+    pub bell: Bell,
+    tricks: Tricks,
+}
+
+impl Duty {
+    /// A desk that nothing has been told yet.
+    pub fn new(
+        env: &Env,
+        agree: Rc<Agree>,
+        relay: Rc<Relay>,
+        bounds: Bounds,
+        platform: Option<SocketAddr>,
+        tricks: Tricks,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            env: env.clone(),
+            agree,
+            relay,
+            bounds,
+            platform: Cell::new(platform),
+            servers: RefCell::default(),
+            seats: RefCell::default(),
+            ledger: RefCell::default(),
+            standings: RefCell::default(),
+            seen: RefCell::default(),
+            term: Cell::new(0),
+            count: Cell::new(0),
+            bell: Bell::default(),
+            tricks,
+        })
+    }
+
+    /// Leads whenever the agreement says so, and clears the desk when it no longer does.
+    pub async fn run(self: Rc<Self>) -> Result<(), std::convert::Infallible> {
+        loop {
+            self.agree.bell.until(|| self.agree.leads().then_some(())).await;
+            let (term, _) = self.agree.term();
+            self.take_over(term);
+            let me = self.clone();
+            let probes = self.env.spawn(async move { me.probes().await });
+            let me = self.clone();
+            let tends = self.env.spawn(async move { me.tends().await });
+            let me = self.clone();
+            let watch = self.env.spawn(async move { me.watch().await });
+            self.agree.bell.until(|| (self.agree.image().is_none() || self.agree.term().0 != term).then_some(())).await;
+            drop((probes, tends, watch));
+            self.standings.borrow_mut().clear();
+            self.seen.borrow_mut().clear();
+        }
+    }
+
+    fn take_over(&self, term: u64) {
+        self.term.set(term);
+        self.count.set(0);
+        *self.ledger.borrow_mut() = Ledger::new(self.env.now() + self.bounds.lapse());
+        self.standings.borrow_mut().clear();
+        self.seats.borrow_mut().clear();
+        self.seen.borrow_mut().clear();
+        // What was told to the hub before is in the news that came by; the rest is told again soon.
+        let now = self.env.now();
+        let mut servers = self.servers.borrow_mut();
+        servers.clear();
+        if let Some(n) = self.relay.latest() {
+            servers.extend(n.servers.iter().map(|s| (s.name.clone(), Told::from_news(s, now))));
+            self.seats.borrow_mut().extend(n.nodes.iter().map(|n| (n.name.clone(), Seat::from_news(n, now))));
+        }
+        drop(servers);
+        self.publish();
+    }
+
+    /// The newest mark; every change of news raises it before it is acted on.
+    fn mark(&self) -> Mark {
+        Mark { term: self.term.get(), count: self.count.get() }
+    }
+
+    /// Sends news of the present state down the tree.
+    pub fn publish(&self) {
+        let Some(image) = self.agree.image() else { return };
+        if !self.agree.leads() {
+            return;
+        }
+        self.count.set(self.count.get() + 1);
+        let news = News {
+            mark: Some(self.mark()),
+            image: Some((*image).clone()),
+            servers: self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect(),
+            nodes: self.seats.borrow().values().map(|s| s.node.clone()).collect(),
+        };
+        self.relay.publish(news);
+        self.bell.ring();
+    }
+
+    /// Takes a server's own report.
+    pub fn report(&self, r: &Report) {
+        let now = self.env.now();
+        let moved = {
+            let mut all = self.servers.borrow_mut();
+            let told = Told::from_report(r, now);
+            let old = all.insert(r.server.clone(), told);
+            old.is_none_or(|o| !o.same(&all[&r.server]))
+        };
+        if moved {
+            self.publish();
+        }
+    }
+
+    /// Whether any group of the image has this server.
+    pub fn known(&self, server: &str) -> bool {
+        self.agree.image().is_some_and(|i| i.home(server).is_some())
+    }
+
+    /// The areas that servers and nodes tell of.
+    pub fn areas(&self) -> Vec<String> {
+        let mut out: Vec<String> = self.servers.borrow().values().map(|t| t.area.clone()).collect();
+        out.extend(self.seats.borrow().values().map(|s| s.node.area.clone()));
+        out.sort();
+        out.dedup();
+        out
+    }
+
+    /// Takes a node's beat and gives its grants.
+    pub fn beaten(&self, beat: Beat) -> Option<BeatReturn> {
+        if !self.agree.leads() || self.term.get() != self.agree.term().0 {
+            return None;
+        }
+        let image = self.agree.image()?;
+        let now = self.env.now();
+        let new = {
+            let mut seats = self.seats.borrow_mut();
+            let seat = Seat::from_beat(&beat, now);
+            let old = seats.insert(beat.name.clone(), seat);
+            if beat.leaving {
+                seats.remove(&beat.name);
+            }
+            old.is_none_or(|o| o.node != Seat::from_beat(&beat, now).node) || beat.leaving
+        };
+        self.ledger.borrow_mut().told(&beat, now);
+        if new {
+            self.publish();
+        }
+        if beat.hub || beat.leaving {
+            return Some(self.ret(&beat, Vec::new(), Vec::new()));
+        }
+        let leads = self.grant_leads(&beat, &image, now);
+        let shares = self.grant_shares(&beat, &image, now);
+        Some(self.ret(&beat, leads, shares))
+    }
+
+    fn ret(&self, beat: &Beat, leads: Vec<wire::Lead>, shares: Vec<wire::Share>) -> BeatReturn {
+        BeatReturn {
+            name: beat.name.clone(),
+            boot: beat.boot,
+            nonce: beat.nonce,
+            mark: Some(self.mark()),
+            leads,
+            shares,
+        }
+    }
+
+    fn grant_leads(&self, beat: &Beat, image: &Image, now: Duration) -> Vec<wire::Lead> {
+        let standings = self.standings.borrow();
+        let mut out = Vec::new();
+        for (group, st) in standings.iter().filter(|(_, s)| s.granting) {
+            let Some(e) = image.elect(group) else { continue };
+            if e.line != st.line {
+                continue;
+            }
+            self.ledger.borrow_mut().lead_given(group, &beat.name, beat.nonce, now + self.bounds.lapse());
+            out.push(wire::Lead {
+                group: group.clone(),
+                server: e.server.clone(),
+                line: e.line,
+                span: self.bounds.grant().as_millis() as u64,
+            });
+        }
+        out
+    }
+
+    fn grant_shares(&self, beat: &Beat, image: &Image, now: Duration) -> Vec<wire::Share> {
+        let mut out = Vec::new();
+        let mut ledger = self.ledger.borrow_mut();
+        let until = now + self.bounds.lapse();
+        for g in &image.groups {
+            for s in &g.servers {
+                let cold = self.servers.borrow().get(s).map_or(0.0, |t| t.cold);
+                let count = ledger.share(s, (&beat.name, beat.nonce), ledger::cap(g.cap, cold), now, until);
+                out.push(wire::Share { server: s.clone(), count, span: self.bounds.grant().as_millis() as u64 });
+            }
+        }
+        out
+    }
+
+    /// Watches for servers and nodes that fall silent.
+    async fn watch(&self) {
+        loop {
+            self.env.sleep(self.bounds.pulse()).await;
+            let now = self.env.now();
+            let gone = self.bounds.gone();
+            let mut moved = false;
+            for (name, t) in self.servers.borrow_mut().iter_mut() {
+                let probed = self.seen.borrow().get(name).map_or(Duration::ZERO, |s| s.at);
+                let quiet = now.saturating_sub(t.heard.max(probed)) > gone;
+                moved |= t.gone != quiet;
+                t.gone = quiet;
+            }
+            let before = self.seats.borrow().len();
+            self.seats.borrow_mut().retain(|_, s| now.saturating_sub(s.heard) < gone * 2);
+            moved |= before != self.seats.borrow().len();
+            if moved {
+                self.publish();
+            }
+        }
+    }
+
+    fn log(&self, part: Part, text: impl AsRef<str>) {
+        self.env.log(part, text);
+    }
+}
--- /dev/null
+++ b/hub/src/duty/probe.rs
@@ -0,0 +1,68 @@
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use base::{
+    edge::backend::{self, Signs},
+    http::Client,
+    seam::Job,
+    words::Position,
+};
+use bytes::Bytes;
+
+use super::Duty;
+
+/// What the hub read of a server on its own connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    /// When the reading was asked for.
+    pub asked: Duration,
+    /// When it came.
+    pub at: Duration,
+    pub place: Position,
+    pub leads: bool,
+}
+
+impl Duty {
+    /// Keeps one reading task for each server of the image.
+    pub(super) async fn probes(self: Rc<Self>) {
+        let mut jobs: BTreeMap<String, (String, Job)> = BTreeMap::new();
+        loop {
+            let addrs: BTreeMap<String, String> = {
+                let image = self.agree.image();
+                let servers = self.servers.borrow();
+                let all = image.iter().flat_map(|i| i.groups.iter().flat_map(|g| g.servers.clone()));
+                all.filter_map(|s| Some((s.clone(), servers.get(&s)?.addr.clone()))).collect()
+            };
+            jobs.retain(|s, (a, _)| addrs.get(s) == Some(a));
+            for (server, addr) in addrs {
+                let Ok(sock) = addr.parse() else { continue };
+                if !jobs.contains_key(&server) {
+                    let me = self.clone();
+                    let name = server.clone();
+                    let job = self.env.spawn(async move { me.probe(name, sock).await });
+                    jobs.insert(server, (addr, job));
+                }
+            }
+            self.env.sleep(self.bounds.pulse()).await;
+        }
+    }
+
+    async fn probe(&self, server: String, addr: SocketAddr) {
+        let span = self.bounds.call();
+        loop {
+            if let Ok(mut line) = Client::connect(&self.env, addr, span, 1 << 16).await {
+                while line.open() {
+                    let asked = self.env.now();
+                    let Ok(out) = line.call("GET", backend::PLACE, &[], Bytes::new(), span).await else { break };
+                    let signs = backend::signs(&out);
+                    if let Signs { place: Some(place), leads, .. } = signs {
+                        let seen = Seen { asked, at: self.env.now(), place, leads };
+                        self.seen.borrow_mut().insert(server.clone(), seen);
+                        self.bell.ring();
+                    }
+                    self.env.sleep(self.bounds.sample()).await;
+                }
+            }
+            self.env.sleep(self.bounds.sample()).await;
+        }
+    }
+}
--- /dev/null
+++ b/hub/src/duty/registry.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+use base::edge::backend::Report;
+use wire::{Beat, Node, Server, Sight};
+
+/// A server as it last told of itself.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub area: String,
+    pub addr: String,
+    pub draining: bool,
+    pub cold: f64,
+    pub leads: bool,
+    pub line: u64,
+    pub heard: Duration,
+    pub gone: bool,
+}
+
+impl Told {
+    /// From the server's report.
+    pub fn from_report(r: &Report, now: Duration) -> Self {
+        Self {
+            area: r.area.clone(),
+            addr: r.addr.clone(),
+            draining: r.draining,
+            cold: r.cold.clamp(0.0, 1.0),
+            leads: r.leads,
+            line: r.line,
+            heard: now,
+            gone: false,
+        }
+    }
+
+    /// From news that an earlier leading hub sent.
+    pub fn from_news(s: &Server, now: Duration) -> Self {
+        Self {
+            area: s.area.clone(),
+            addr: s.addr.clone(),
+            draining: s.draining,
+            cold: f64::from(s.cold) / 1000.0,
+            leads: s.leads,
+            line: s.line,
+            heard: if s.gone { Duration::ZERO } else { now },
+            gone: s.gone,
+        }
+    }
+
+    /// Coldness in twentieths, so that warming up is not news at every report.
+    fn step(&self) -> u32 {
+        (self.cold * 20.0).ceil() as u32 * 50
+    }
+
+    /// Whether nothing changed that nodes need to hear.
+    pub fn same(&self, o: &Told) -> bool {
+        self.area == o.area
+            && self.addr == o.addr
+            && self.draining == o.draining
+            && self.leads == o.leads
+            && self.line == o.line
+            && self.gone == o.gone
+            && self.step() == o.step()
+    }
+
+    /// As it goes into the news.
+    pub fn news(&self, name: &str) -> Server {
+        Server {
+            name: name.into(),
+            area: self.area.clone(),
+            addr: self.addr.clone(),
+            draining: self.draining,
+            gone: self.gone,
+            cold: self.step(),
+            leads: self.leads,
+            line: self.line,
+        }
+    }
+}
+
+/// A node whose session stands.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    pub node: Node,
+    pub heard: Duration,
+    pub sights: Vec<Sight>,
+    pub hub: bool,
+}
+
+impl Seat {
+    /// From the node's beat.
+    pub fn from_beat(b: &Beat, now: Duration) -> Self {
+        let node = Node {
+            name: b.name.clone(),
+            area: b.area.clone(),
+            peer: b.peer.clone(),
+            http: b.http.clone(),
+            parent: b.parent.clone(),
+            depth: b.depth,
+        };
+        Self { node, heard: now, sights: b.sights.clone(), hub: b.hub }
+    }
+
+    /// From news that an earlier leading hub sent.
+    pub fn from_news(n: &Node, now: Duration) -> Self {
+        Self { node: n.clone(), heard: now, sights: Vec::new(), hub: false }
+    }
+}
--- /dev/null
+++ b/hub/src/lib.rs
@@ -0,0 +1,10 @@
+//! The control plane: agreement on the operator's word, elections of leaders, grants, news.
+
+mod agree;
+mod door;
+mod duty;
+mod ops;
+pub mod run;
+pub mod store;
+
+pub use run::{Hub, Tricks, run};
--- /dev/null
+++ b/hub/src/run.rs
@@ -0,0 +1,165 @@
+//! Puts a hub together and runs it under its supervisor.
+
+use std::rc::Rc;
+
+use base::{
+    http::{self, Door, Session},
+    seam::{Env, Part},
+    settings::Place,
+    tree::Tree,
+};
+use wire::{
+    Ask, AskReturn, Beat, BeatReturn, Body, Hello, News, Out,
+    relay::{Head, Relay, Who},
+};
+
+use crate::{
+    agree::{Agree, Loose},
+    door::Desk,
+    duty::Duty,
+    store::{Fault, Found, Store},
+};
+
+/// Guards that tests take away to see that they are needed; the programs leave all in place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tricks {
+    /// Elect without waiting for grants to run out.
+    pub no_wait: bool,
+    /// Elect after reading a single server.
+    pub read_one: bool,
+    /// Let a blank disk vote.
+    pub blank_votes: bool,
+    /// Ignore holds between hubs.
+    pub no_hold: bool,
+}
+
+/// The size at which the log gives way to a new slot.
+const LOG: u64 = 256 << 10;
+
+/// A running hub.
+pub struct Hub {
+    pub agree: Rc<Agree>,
+    pub duty: Rc<Duty>,
+    pub relay: Rc<Relay>,
+    pub door: Door,
+    _tree: Tree,
+    _desk: [base::seam::Job; 2],
+}
+
+struct Root {
+    agree: Rc<Agree>,
+    duty: std::cell::RefCell<Option<Rc<Duty>>>,
+    env: Env,
+}
+
+impl Root {
+    fn duty(&self) -> Rc<Duty> {
+        self.duty.borrow().clone().expect("the duty is set before the relay runs")
+    }
+}
+
+impl Head for Root {
+    fn rooted(&self) -> bool {
+        self.agree.leads()
+    }
+
+    fn beat(&self, _beat: &mut Beat) {}
+
+    fn returned(&self, _ret: BeatReturn, _sent: std::time::Duration) {}
+
+    fn news(&self, _news: &Rc<News>) {}
+
+    fn beaten(&self, beat: Beat) -> Option<BeatReturn> {
+        self.duty().beaten(beat)
+    }
+
+    fn asked(&self, ask: Ask, done: Box<dyn FnOnce(AskReturn)>) {
+        let duty = self.duty();
+        let task = async move {
+            let out = duty.answer(&ask.method, &ask.path, ask.body).await;
+            let retry = out.header("retry-after").and_then(|r| r.parse().ok()).unwrap_or(0);
+            let (origin, nonce) = (ask.origin, ask.nonce);
+            done(AskReturn { origin, nonce, code: u32::from(out.code), retry, body: out.body });
+        };
+        self.env.spawn(task).detach();
+    }
+
+    fn other(&self, from: &Hello, body: Body, out: &Out) {
+        if from.hub {
+            self.agree.frame(&from.name, body, Some(out.clone()));
+        }
+    }
+
+    fn hello(&self, hello: &mut Hello) {
+        self.agree.hello(hello);
+    }
+}
+
+/// Starts a hub; it runs for as long as the returned value lives.
+pub async fn run(env: &Env, place: &Place, tricks: Tricks) -> Result<Hub, Fault> {
+    let who = Who {
+        name: place.name.clone(),
+        area: place.area.clone(),
+        hub: true,
+        peer: place.peer,
+        http: place.http,
+        seeds: place.seeds.clone(),
+        boot: env.rand(),
+    };
+    let (store, kept, found) = Store::open(env, LOG).await?;
+    match found {
+        Found::Fresh => env.log(Part::Disk, "the data folder is empty"),
+        Found::Torn => env.log(Part::Disk, "no slot can be read; starting blank, and not voting until admitted"),
+        Found::Whole => {}
+    }
+    let peer = env.listen(place.peer).await?;
+    let sock = env.listen(place.http).await?;
+    let loose = Loose { blank_votes: tricks.blank_votes, no_hold: tricks.no_hold };
+    let (agree, inbox) = Agree::new(env, who.clone(), place.bounds.clone(), kept, loose);
+    let relay = Relay::new(env, who.clone(), place.bounds.clone());
+    let root = Rc::new(Root { agree: agree.clone(), duty: Default::default(), env: env.clone() });
+    let duty = Duty::new(env, agree.clone(), relay.clone(), place.bounds.clone(), place.platform, tricks);
+    *root.duty.borrow_mut() = Some(duty.clone());
+    relay.lead(root);
+    let door = Door::new(place.most_sessions, place.most_body);
+
+    let desk = [env.spawn(agree.clone().desk(inbox, store)), env.spawn(agree.clone().ticks())];
+    let mut tree = Tree::new(env);
+    for seed in who.seeds.iter().copied().filter(|s| *s != who.peer) {
+        let a = agree.clone();
+        tree.child("peer", move || a.clone().peer(seed));
+    }
+    let r = relay.clone();
+    tree.child("serve", move || r.clone().serve(peer.clone()));
+    let r = relay.clone();
+    tree.child("join", move || r.clone().join());
+    let r = relay.clone();
+    tree.child("beats", move || r.clone().beats());
+    let d = duty.clone();
+    tree.child("duty", move || d.clone().run());
+    let (e, d) = (env.clone(), door.clone());
+    let (r, a, b) = (relay.clone(), agree.clone(), place.bounds.clone());
+    tree.child("door", move || {
+        let (r, a, b) = (r.clone(), a.clone(), b.clone());
+        let make = Rc::new(move || {
+            Rc::new(Desk { relay: r.clone(), agree: a.clone(), bounds: b.clone() }) as Rc<dyn Session>
+        });
+        http::serve(e.clone(), sock.clone(), d.clone(), make)
+    });
+    env.log(Part::Main, format!("hub {} in area {} serves {}", who.name, who.area, place.http));
+    Ok(Hub { agree, duty, relay, door, _tree: tree, _desk: desk })
+}
+
+impl Hub {
+    /// Takes a changed address of the platform.
+    pub fn platform(&self, addr: Option<std::net::SocketAddr>) {
+        self.duty.platform.set(addr);
+    }
+
+    /// Hands over what this hub does and closes its doors.
+    pub async fn leave(&self) {
+        self.agree.leave().await;
+        self.relay.leave();
+        self.door.close();
+    }
+}
--- /dev/null
+++ b/hub/src/store/mod.rs
@@ -0,0 +1,166 @@
+//! What a hub remembers on its disk: two slots written in turn, a short log between.
+
+mod record;
+
+use std::{io, rc::Rc};
+
+use base::seam::{Disk, Env, Part};
+use wire::{Image, Message};
+
+pub use record::{FORMAT, HEAD, decode, encode};
+
+const SLOTS: [&str; 2] = ["slot-a", "slot-b"];
+const LOG: &str = "log";
+
+/// All that a hub's vote and memory rest on.
+#[derive(Clone, PartialEq, Message)]
+pub struct Kept {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Whom this hub voted for in the term.
+    #[prost(string, tag = "2")]
+    pub vote: String,
+    #[prost(uint64, tag = "3")]
+    pub at_term: u64,
+    #[prost(uint64, tag = "4")]
+    pub at_count: u64,
+    #[prost(message, optional, tag = "5")]
+    pub image: Option<Image>,
+    /// The incarnation of this disk.
+    #[prost(uint64, tag = "6")]
+    pub born: u64,
+}
+
+/// How a disk was found.
+#[derive(Debug, PartialEq)]
+pub enum Found {
+    /// Nothing was ever written.
+    Fresh,
+    /// There are files, but no slot that can be read.
+    Torn,
+    Whole,
+}
+
+struct Log {
+    turn: u64,
+    kept: Kept,
+    size: u64,
+    steps: u64,
+    broken: bool,
+}
+
+/// Why a store can't be opened at all.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("no data folder is set")]
+    None,
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{file} has format {found}, and this program knows {FORMAT} and older")]
+    Newer { file: &'static str, found: u32 },
+}
+
+/// The owner of a hub's data folder.
+pub struct Store {
+    env: Env,
+    disk: Rc<dyn Disk>,
+    turn: u64,
+    log_at: u64,
+    most: u64,
+    stale: bool,
+}
+
+impl Store {
+    /// Opens the folder and reads what it remembers.
+    pub async fn open(env: &Env, most: u64) -> Result<(Self, Kept, Found), Fault> {
+        let disk = env.disk().ok_or(Fault::None)?;
+        let mut best: Option<(u64, Kept)> = None;
+        let mut any = false;
+        for file in SLOTS {
+            let Some(data) = disk.read(file).await? else { continue };
+            any |= !data.is_empty();
+            match decode(&data) {
+                Ok(Some((turn, kept, _))) if best.as_ref().is_none_or(|b| turn > b.0) => best = Some((turn, kept)),
+                Ok(_) => {}
+                Err(found) => return Err(Fault::Newer { file, found }),
+            }
+        }
+        let log = disk.read(LOG).await?;
+        any |= log.as_ref().is_some_and(|l| !l.is_empty());
+        let mut me = Self { env: env.clone(), disk, turn: 0, log_at: 0, most, stale: false };
+        let Some((turn, kept)) = best else {
+            me.stale = true;
+            return Ok((me, Kept::default(), if any { Found::Torn } else { Found::Fresh }));
+        };
+        let log = me.replay(log.as_deref().unwrap_or_default())?;
+        let (kept, steps) = match log {
+            // The newest slot may have rotted; the log that goes with it opens with the same content.
+            Some(l) if l.turn >= turn => {
+                if l.broken {
+                    me.stale = true;
+                    me.turn = l.turn;
+                    return Ok((me, Kept::default(), Found::Torn));
+                }
+                me.turn = l.turn;
+                me.log_at = l.size;
+                (l.kept, l.steps)
+            }
+            _ => {
+                me.turn = turn;
+                (kept, 0)
+            }
+        };
+        env.log(Part::Disk, format!("slot turn {} and {steps} log records read", me.turn));
+        Ok((me, kept, Found::Whole))
+    }
+
+    fn replay(&self, log: &[u8]) -> Result<Option<Log>, Fault> {
+        let newer = |found| Fault::Newer { file: LOG, found };
+        let mut out: Option<Log> = None;
+        let mut at = 0;
+        while let Some((turn, kept, size)) = decode(&log[at..]).map_err(newer)? {
+            if out.as_ref().is_some_and(|o| o.turn != turn) {
+                return Ok(out);
+            }
+            at += size;
+            let steps = out.map_or(1, |o| o.steps + 1);
+            out = Some(Log { turn, kept, size: at as u64, steps, broken: false });
+        }
+        // Only the last record can have been cut off by a crash; a good one behind a bad one means rot.
+        if let Some(o) = &mut out {
+            for i in at + 1..log.len().saturating_sub(HEAD) {
+                if matches!(decode(&log[i..]), Ok(Some((t, _, _))) if t == o.turn) {
+                    o.broken = true;
+                    break;
+                }
+            }
+        }
+        Ok(out)
+    }
+
+    /// Syncs what is to be remembered; only then may it be acted on.
+    pub async fn save(&mut self, kept: &Kept) -> io::Result<()> {
+        let full = self.log_at + (kept.encoded_len() + HEAD) as u64 > self.most;
+        if self.stale || self.turn == 0 || full {
+            let turn = self.turn + 1;
+            self.disk.write(SLOTS[turn as usize % 2], encode(turn, kept)).await?;
+            self.turn = turn;
+            self.stale = false;
+            // The log opens with the slot's content, so that a slot lost later is noticed and made good.
+            self.log_at = 0;
+        }
+        let record = encode(self.turn, kept);
+        let size = record.len() as u64;
+        self.disk.append(LOG, self.log_at, record).await?;
+        self.log_at += size;
+        Ok(())
+    }
+
+    /// Syncs, or ends the process: a failed sync leaves nothing to stand on.
+    pub async fn must(&mut self, kept: &Kept) {
+        if let Err(e) = self.save(kept).await {
+            self.env.die(&format!("sync failed: {e}"));
+            futures::future::pending::<()>().await;
+        }
+    }
+}
--- /dev/null
+++ b/kit/src/fleet/script.rs
@@ -0,0 +1,151 @@
+use std::time::Duration;
+
+use base::seam::Env;
+use rustix::process::Signal;
+
+use super::{Layout, Procs, ask, chief, leader};
+
+/// What is done to a running fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Kill the server that leads a group.
+    Leader(String),
+    /// Kill the leading hub.
+    Chief,
+    Kill(String),
+    /// Kill every process of an area.
+    Area(String),
+    Start(String),
+    /// Ask a process to end, and start it again once it has.
+    Restart(String),
+    Stop(String),
+    Thaw(String),
+    /// Kill a hub and remove its data.
+    Wipe(String),
+    Empty(String),
+    TakeBack(String),
+    Drain(String),
+    /// The server runs so many statements without answering.
+    Mute(String),
+    /// Start whatever is down.
+    Revive,
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    pub at: Duration,
+    pub fault: Fault,
+}
+
+/// Reads `SECONDS:WHAT[=NAME]`.
+pub fn parse(text: &str) -> Result<Step, String> {
+    let bad = || format!("{text:?} is not SECONDS:WHAT[=NAME]");
+    let (at, what) = text.split_once(':').ok_or_else(bad)?;
+    let at = Duration::try_from_secs_f64(at.parse().map_err(|_| bad())?).map_err(|_| bad())?;
+    let (what, name) = what.split_once('=').unwrap_or((what, ""));
+    let name = name.to_string();
+    let fault = match (what, name.is_empty()) {
+        ("chief", true) => Fault::Chief,
+        ("revive", true) => Fault::Revive,
+        ("leader", false) => Fault::Leader(name),
+        ("kill", false) => Fault::Kill(name),
+        ("area", false) => Fault::Area(name),
+        ("start", false) => Fault::Start(name),
+        ("restart", false) => Fault::Restart(name),
+        ("stop", false) => Fault::Stop(name),
+        ("thaw", false) => Fault::Thaw(name),
+        ("wipe", false) => Fault::Wipe(name),
+        ("empty", false) => Fault::Empty(name),
+        ("take-back", false) => Fault::TakeBack(name),
+        ("drain", false) => Fault::Drain(name),
+        ("mute", false) => Fault::Mute(name),
+        _ => return Err(bad()),
+    };
+    Ok(Step { at, fault })
+}
+
+async fn trouble(env: &Env, layout: &Layout, server: &str, body: &str) -> String {
+    match layout.servers.iter().find(|s| s.name == server) {
+        Some(s) => match ask(env, s.addr, "POST", "/trouble", body).await {
+            Some(r) => format!("{server} told {body}: {}", r.code),
+            None => format!("{server} did not answer"),
+        },
+        None => format!("no server {server}"),
+    }
+}
+
+async fn area(env: &Env, layout: &Layout, area: &str, word: &str) -> String {
+    let path = format!("/ops/areas/{area}/{word}");
+    for n in &layout.spokes {
+        if let Some(r) = ask(env, n.http, "POST", &path, "").await {
+            return format!("area {area} {word}: {} {}", r.code, String::from_utf8_lossy(&r.body));
+        }
+    }
+    "no node answered".into()
+}
+
+/// Does it; says what was done.
+pub async fn carry_out(env: &Env, layout: &Layout, procs: &mut Procs, fault: &Fault) -> String {
+    match fault {
+        Fault::Leader(group) => match leader(env, layout, group).await {
+            Some(s) => {
+                procs.kill(&s);
+                format!("killed {s}, leader of {group}")
+            }
+            None => format!("{group} has no leader to kill"),
+        },
+        Fault::Chief => match chief(env, layout).await {
+            Some(h) => {
+                procs.kill(&h);
+                format!("killed {h}, the leading hub")
+            }
+            None => "no hub leads".into(),
+        },
+        Fault::Kill(n) => {
+            procs.kill(n);
+            format!("killed {n}")
+        }
+        Fault::Area(a) => {
+            let names = procs.area(a);
+            names.iter().for_each(|n| procs.kill(n));
+            format!("area {a} lost: {}", names.join(" "))
+        }
+        Fault::Start(n) => match procs.launch(n) {
+            Ok(()) => format!("started {n}"),
+            Err(e) => e,
+        },
+        Fault::Restart(n) => {
+            procs.signal(n, Signal::TERM);
+            let ok = loop {
+                if let Some(ok) = procs.ended(n) {
+                    break ok;
+                }
+                env.sleep(Duration::from_millis(20)).await;
+            };
+            let again = procs.launch(n);
+            format!("{n} ended {} and was started again {again:?}", if ok { "well" } else { "badly" })
+        }
+        Fault::Stop(n) => {
+            procs.signal(n, Signal::STOP);
+            format!("froze {n}")
+        }
+        Fault::Thaw(n) => {
+            procs.signal(n, Signal::CONT);
+            format!("thawed {n}")
+        }
+        Fault::Wipe(n) => {
+            procs.kill(n);
+            procs.wipe(n);
+            format!("killed {n} and removed its data")
+        }
+        Fault::Empty(a) => area(env, layout, a, "empty").await,
+        Fault::TakeBack(a) => area(env, layout, a, "take-back").await,
+        Fault::Drain(s) => trouble(env, layout, s, "{\"draining\":true}").await,
+        Fault::Mute(s) => trouble(env, layout, s, "{\"mute\":3}").await,
+        Fault::Revive => match procs.revive(layout) {
+            Ok(()) => "started whatever was down".into(),
+            Err(e) => e,
+        },
+    }
+}
--- /dev/null
+++ b/kit/src/lib.rs
@@ -0,0 +1,8 @@
+//! Tools beside the daemons: load generator, stand-in servers and platform, fleet, simulation.
+
+pub mod check;
+pub mod fleet;
+pub mod load;
+pub mod platform;
+pub mod server;
+pub mod sim;
--- /dev/null
+++ b/kit/src/main.rs
@@ -0,0 +1,217 @@
+//! Tools beside the daemons.
+
+use std::{net::SocketAddr, path::PathBuf, process::exit, time::Duration};
+
+use argh::FromArgs;
+use base::boot;
+use kit::{
+    fleet::{self, Run},
+    load,
+    platform::{Known, Platform},
+    server::{Server, Setup},
+};
+
+#[derive(FromArgs)]
+/// Tools beside portspoke's daemons: a load generator, stand-ins, a fleet of real processes, a simulation.
+struct Args {
+    #[argh(subcommand)]
+    tool: Tool,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Tool {
+    Load(LoadArgs),
+    Server(ServerArgs),
+    Platform(PlatformArgs),
+    Fleet(FleetArgs),
+}
+
+#[derive(FromArgs)]
+/// drive callers' sessions at spokes, open-loop, and report
+#[argh(subcommand, name = "load")]
+struct LoadArgs {
+    /// a node as AREA,ADDRESS; repeat for each
+    #[argh(option)]
+    node: Vec<String>,
+    /// open sessions (300)
+    #[argh(option, default = "300")]
+    sessions: usize,
+    /// requests a second (450)
+    #[argh(option, default = "450.0")]
+    rate: f64,
+    /// seconds (10)
+    #[argh(option, default = "10.0")]
+    seconds: f64,
+    /// report as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+#[derive(FromArgs)]
+/// run one stand-in database server
+#[argh(subcommand, name = "server")]
+struct ServerArgs {
+    /// its name
+    #[argh(option)]
+    name: String,
+    /// its area
+    #[argh(option)]
+    area: String,
+    /// its address
+    #[argh(option)]
+    addr: SocketAddr,
+    /// address of a node that takes reports; repeat for each
+    #[argh(option)]
+    node: Vec<SocketAddr>,
+    /// connections it takes (80)
+    #[argh(option, default = "80")]
+    cap: usize,
+    /// data folder
+    #[argh(option)]
+    data: Option<PathBuf>,
+    /// seconds to warm up (5)
+    #[argh(option, default = "5.0")]
+    warm: f64,
+}
+
+#[derive(FromArgs)]
+/// run a stand-in platform that names leaders
+#[argh(subcommand, name = "platform")]
+struct PlatformArgs {
+    /// its address
+    #[argh(option)]
+    addr: SocketAddr,
+    /// a server as NAME,GROUP,ADDRESS; repeat for each
+    #[argh(option)]
+    server: Vec<String>,
+}
+
+#[derive(FromArgs)]
+/// run a whole deployment as processes on loopback, drive it, break it, judge it
+#[argh(subcommand, name = "fleet")]
+struct FleetArgs {
+    /// machines, 9 or 11 in the users' deployments (9)
+    #[argh(option, default = "9")]
+    machines: usize,
+    /// open sessions (300)
+    #[argh(option, default = "300")]
+    sessions: usize,
+    /// requests a second (450)
+    #[argh(option, default = "450.0")]
+    rate: f64,
+    /// seconds of load (20)
+    #[argh(option, default = "20.0")]
+    seconds: f64,
+    /// a fault as SECONDS:WHAT[=NAME]; WHAT is leader, chief, kill, area, start, restart, stop, thaw, wipe, empty,
+    /// take-back, drain, mute or revive; repeat for each
+    #[argh(option)]
+    at: Vec<String>,
+    /// folder for settings, data and logs (a new one below the system's temporary folder)
+    #[argh(option)]
+    folder: Option<PathBuf>,
+    /// report as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+fn usage(text: String) -> ! {
+    eprintln!("{text}");
+    exit(64)
+}
+
+fn show(report: &load::Report, json: bool) {
+    use nanoserde::SerJson;
+    if json { println!("{}", report.serialize_json()) } else { print!("{}", report.text()) }
+}
+
+#[compio::main]
+async fn main() {
+    let args: Args = argh::from_env();
+    boot::log("info");
+    match args.tool {
+        Tool::Load(a) => {
+            let env = boot::world(None);
+            let node = |(i, t): (usize, &String)| {
+                let (area, addr) = t.split_once(',').unwrap_or_else(|| usage(format!("--node {t:?}: AREA,ADDRESS")));
+                let addr = addr.parse().unwrap_or_else(|_| usage(format!("--node {t:?}: no address")));
+                load::Node { name: format!("node{}", i + 1), area: area.into(), addr }
+            };
+            let nodes: Vec<_> = a.node.iter().enumerate().map(node).collect();
+            if nodes.is_empty() || a.rate <= 0.0 || a.sessions == 0 || a.seconds <= 0.0 {
+                usage("at least one --node, and --rate, --sessions and --seconds above 0, belong here".into());
+            }
+            let plan = load::Plan {
+                nodes,
+                sessions: a.sessions,
+                rate: a.rate,
+                span: Duration::from_secs_f64(a.seconds),
+                keys: 100,
+                leave: 20,
+                patience: Duration::from_secs(5),
+            };
+            let history = std::rc::Rc::default();
+            load::run(&env, &plan, &history).await;
+            show(&load::Report::new(&history.events.borrow(), Vec::new()), a.json);
+        }
+        Tool::Server(a) => {
+            let data = a.data.map(|d| d.display().to_string());
+            let env = boot::world(data.as_deref());
+            let setup = Setup {
+                name: a.name,
+                area: a.area,
+                addr: a.addr,
+                nodes: a.node,
+                cap: a.cap,
+                warm: Duration::from_secs_f64(a.warm.max(0.0)),
+                work: Duration::from_millis(1),
+            };
+            match Server::start(&env, setup).await {
+                Ok(_s) => while boot::signal().await != boot::Call::End {},
+                Err(e) => boot::fail(&e.to_string()),
+            }
+        }
+        Tool::Platform(a) => {
+            let env = boot::world(None);
+            let known = |t: &String| {
+                let parts: Vec<&str> = t.split(',').collect();
+                let [name, group, addr] = parts[..] else { usage(format!("--server {t:?}: NAME,GROUP,ADDRESS")) };
+                let addr = addr.parse().unwrap_or_else(|_| usage(format!("--server {t:?}: no address")));
+                Known { name: name.into(), group: group.into(), addr }
+            };
+            match Platform::start(&env, a.addr, a.server.iter().map(known).collect()).await {
+                Ok(_p) => while boot::signal().await != boot::Call::End {},
+                Err(e) => boot::fail(&e.to_string()),
+            }
+        }
+        Tool::Fleet(a) => {
+            let env = boot::world(None);
+            let steps = a.at.iter().map(|t| fleet::parse(t).unwrap_or_else(|e| usage(e))).collect();
+            let own = std::env::current_exe().ok().and_then(|p| p.parent().map(PathBuf::from)).unwrap_or_default();
+            let folder =
+                a.folder.unwrap_or_else(|| std::env::temp_dir().join(format!("portspoke-{}", std::process::id())));
+            println!("settings, data and logs are below {}", folder.display());
+            let run = Run {
+                machines: a.machines,
+                sessions: a.sessions,
+                rate: a.rate,
+                span: Duration::from_secs_f64(a.seconds),
+                steps,
+                folder,
+                bins: own,
+            };
+            match fleet::run(&env, &run).await {
+                Ok(report) => {
+                    show(&report, a.json);
+                    if !report.findings.is_empty() {
+                        exit(1);
+                    }
+                }
+                Err(e) => {
+                    eprintln!("{e}");
+                    exit(2);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kit/src/server/follow.rs
@@ -0,0 +1,57 @@
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use base::{http::Client, strict};
+use bytes::Bytes;
+
+use super::{Entry, Server};
+
+strict! {
+    /// Entries that a leader hands to a follower.
+    pub struct Batch {
+        pub line: u64,
+        pub entries: Vec<Entry>,
+    }
+}
+
+const SPAN: Duration = Duration::from_millis(1000);
+
+impl Server {
+    /// Takes the log from the leader, for as long as this server follows one.
+    pub(super) async fn follow(self: Rc<Self>) -> Result<(), Infallible> {
+        loop {
+            let Some(addr) = self.leader.get().filter(|_| !self.leads.get() && !self.stalled.get()) else {
+                self.env.sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let Ok(mut line) = Client::connect(&self.env, addr, SPAN, 64 << 20).await else {
+                self.env.sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            while self.leader.get() == Some(addr) && !self.leads.get() && !self.stalled.get() {
+                let after = self.log.borrow().len() as u64;
+                let of = self.log.borrow().last().map_or(0, |e| e.line);
+                let path = format!("/log?after={after}&of={of}&line={}", self.line.get());
+                let Ok(out) = line.call("GET", &path, &[], Bytes::new(), SPAN).await else { break };
+                if self.leader.get() != Some(addr) || self.leads.get() || self.stalled.get() {
+                    break;
+                }
+                match out.code {
+                    200 => {
+                        let Ok(batch) = base::strict::read::<Batch>(&out.body) else { break };
+                        if batch.line != self.line.get() || self.log.borrow().len() as u64 != after {
+                            break;
+                        }
+                        for e in batch.entries {
+                            self.push(e);
+                        }
+                    }
+                    409 if after > 0 => self.cut(after - 1),
+                    _ => {
+                        self.env.sleep(Duration::from_millis(50)).await;
+                        break;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kit/src/server/mod.rs
@@ -0,0 +1,156 @@
+//! A stand-in database server: one connection, one session; a replicated log; reports of itself.
+
+mod follow;
+mod report;
+mod serve;
+mod store;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{
+    bell::Bell,
+    http::{self, Door, Session},
+    seam::{Env, Part},
+    tree::Tree,
+    words::Position,
+};
+
+pub use serve::{Control, Rows, Statement, StatsRow, Trouble};
+pub use store::{Entry, Op, Record};
+
+/// How a stand-in server is set up.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub name: String,
+    pub area: String,
+    pub addr: SocketAddr,
+    /// HTTP addresses of nodes that take reports.
+    pub nodes: Vec<SocketAddr>,
+    pub cap: usize,
+    /// How long it takes to warm up.
+    pub warm: Duration,
+    /// How long a statement takes.
+    pub work: Duration,
+}
+
+/// What a server counted; read by checkers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Stats {
+    pub statements: u64,
+    pub most_open: u64,
+    /// Connections refused because the cap was reached.
+    pub over: u64,
+    /// Statements that came while it was colder than its work allowed.
+    pub flooded: u64,
+    /// Statements of one caller that met another's session values.
+    pub mixed: u64,
+    /// When the newest statement came.
+    pub last: Duration,
+}
+
+/// A running stand-in server.
+pub struct Server {
+    pub(crate) env: Env,
+    pub setup: Setup,
+    pub(crate) log: RefCell<Vec<Entry>>,
+    pub(crate) durable: Cell<u64>,
+    pub(crate) state: RefCell<BTreeMap<String, Vec<String>>>,
+    pub(crate) leads: Cell<bool>,
+    pub(crate) line: Cell<u64>,
+    pub(crate) leader: Cell<Option<SocketAddr>>,
+    pub(crate) file_at: Cell<u64>,
+    pub(crate) bell: Bell,
+    pub(crate) started: Duration,
+    pub draining: Cell<bool>,
+    /// So many statements are run but never answered.
+    pub mute: Cell<u64>,
+    /// A follower that no longer receives.
+    pub stalled: Cell<bool>,
+    pub(crate) open: Cell<usize>,
+    pub(crate) busy: Cell<usize>,
+    pub stats: RefCell<Stats>,
+    /// When draining was first told to a node and taken.
+    pub drain_told: Cell<Option<Duration>>,
+    pub(crate) tree: RefCell<Option<Tree>>,
+}
+
+impl Server {
+    /// Starts a server with what its data folder holds.
+    pub async fn start(env: &Env, setup: Setup) -> std::io::Result<Rc<Self>> {
+        let sock = env.listen(setup.addr).await?;
+        let me = Rc::new(Self {
+            env: env.clone(),
+            setup,
+            log: RefCell::default(),
+            durable: Cell::new(0),
+            state: RefCell::default(),
+            leads: Cell::new(false),
+            line: Cell::new(0),
+            leader: Cell::new(None),
+            file_at: Cell::new(0),
+            bell: Bell::default(),
+            started: env.now(),
+            draining: Cell::new(false),
+            mute: Cell::new(0),
+            stalled: Cell::new(false),
+            open: Cell::new(0),
+            busy: Cell::new(0),
+            stats: RefCell::default(),
+            drain_told: Cell::new(None),
+            tree: RefCell::default(),
+        });
+        me.recall().await?;
+        let mut tree = Tree::new(env);
+        let s = me.clone();
+        tree.child("flush", move || s.clone().flush());
+        let s = me.clone();
+        tree.child("follow", move || s.clone().follow());
+        let s = me.clone();
+        tree.child("report", move || s.clone().reports());
+        let (s, e) = (me.clone(), env.clone());
+        let door = Door::new(1000, 1 << 20);
+        tree.child("door", move || {
+            let s = s.clone();
+            let make = Rc::new(move || Rc::new(serve::Line::new(&s)) as Rc<dyn Session>);
+            http::serve(e.clone(), sock.clone(), door.clone(), make)
+        });
+        *me.tree.borrow_mut() = Some(tree);
+        env.log(Part::Kit, format!("server {} at {}", me.setup.name, me.setup.addr));
+        Ok(me)
+    }
+
+    /// The newest position that is on disk.
+    pub fn place(&self) -> Position {
+        let index = self.durable.get();
+        let line = match index {
+            0 => 0,
+            i => self.log.borrow().get(i as usize - 1).map_or(0, |e| e.line),
+        };
+        Position { line, index }
+    }
+
+    /// From 0, warm, to 1, stone cold.
+    pub fn cold(&self) -> f64 {
+        let up = self.env.now().saturating_sub(self.started);
+        if self.setup.warm.is_zero() || up >= self.setup.warm {
+            return 0.0;
+        }
+        1.0 - up.as_secs_f64() / self.setup.warm.as_secs_f64()
+    }
+
+    /// All entries that are on disk.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.log.borrow()[..self.durable.get() as usize].to_vec()
+    }
+
+    /// Whether the server holds itself for the leader.
+    pub fn leads(&self) -> bool {
+        self.leads.get()
+    }
+}
--- /dev/null
+++ b/kit/src/server/report.rs
@@ -0,0 +1,50 @@
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use base::{edge::backend::Report, http::Client};
+use nanoserde::SerJson;
+
+use super::Server;
+
+impl Server {
+    /// Reports every half second to a node, to the next one when that fails.
+    pub(super) async fn reports(self: Rc<Self>) -> Result<(), Infallible> {
+        let nodes = self.setup.nodes.clone();
+        let mut at = self.env.below(nodes.len() as u64) as usize;
+        loop {
+            if nodes.is_empty() {
+                self.env.sleep(Duration::from_secs(3600)).await;
+                continue;
+            }
+            let place = self.place();
+            let draining = self.draining.get();
+            let body = Report {
+                server: self.setup.name.clone(),
+                area: self.setup.area.clone(),
+                addr: self.setup.addr.to_string(),
+                leads: self.leads.get(),
+                draining,
+                cold: self.cold(),
+                line: self.line.get(),
+                index: place.index,
+            };
+            let span = Duration::from_millis(700);
+            let text = body.serialize_json().into();
+            let out = Client::once(&self.env, nodes[at], "POST", "/report", &[], text, span).await;
+            match out {
+                Ok(o) if o.code == 200 => {
+                    if draining && self.drain_told.get().is_none() {
+                        self.drain_told.set(Some(self.env.now()));
+                    }
+                    if !draining {
+                        self.drain_told.set(None);
+                    }
+                    self.env.sleep(Duration::from_millis(500)).await;
+                }
+                _ => {
+                    at = (at + 1) % nodes.len();
+                    self.env.sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kit/src/sim/mod.rs
@@ -0,0 +1,1 @@
+//! The simulation.
--- /dev/null
+++ b/kit/tests/fleet.rs
@@ -0,0 +1,30 @@
+//! The whole path over real processes: found, configured, delivered, served, and a leader lost on the way.
+
+use std::{path::Path, time::Duration};
+
+use base::boot;
+use kit::fleet::{self, Run};
+
+#[test]
+fn real_processes_serve_and_survive_a_lost_leader() {
+    let bins = Path::new(env!("CARGO_BIN_EXE_kit")).parent().unwrap().to_path_buf();
+    let folder = std::env::temp_dir().join(format!("portspoke-fleet-{}", std::process::id()));
+    let run = Run {
+        machines: 9,
+        sessions: 60,
+        rate: 90.0,
+        span: Duration::from_secs(12),
+        steps: vec![fleet::parse("3:leader=g1").unwrap(), fleet::parse("4:chief").unwrap()],
+        folder: folder.clone(),
+        bins,
+    };
+    let out = compio::runtime::Runtime::new().unwrap().block_on(async {
+        let env = boot::world(None);
+        fleet::run(&env, &run).await
+    });
+    let report = out.unwrap();
+    println!("{}", report.text());
+    assert!(report.findings.is_empty(), "{}", report.text());
+    assert!(report.good.iter().sum::<u64>() > 0, "{}", report.text());
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- /dev/null
+++ b/spoke/src/decide/mod.rs
@@ -0,0 +1,289 @@
+//! The decision object: asked where a statement may go and whether that still holds. It sends nothing itself.
+
+use std::{rc::Rc, time::Duration};
+
+use base::{
+    Bounds, Kind,
+    edge::{caller::Token, operator::Promise},
+    seam::Env,
+};
+use pick::choose;
+use wire::Doorway;
+
+use crate::{
+    gauge::{Gauges, Key},
+    run::{Pools, Tricks},
+    view::{Journal, View},
+};
+
+/// On what a send rests; looked at again before the send and before the answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Basis {
+    /// The leader grant of this line.
+    Leader { line: u64 },
+    /// A head reading asked for at this time.
+    Head { asked: Duration },
+    /// A position the server was seen to hold, or no promise at all.
+    Seen,
+}
+
+/// Where to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    pub server: String,
+    pub group: String,
+    pub basis: Basis,
+}
+
+/// What the executor is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Send(Target),
+    Return(Kind),
+}
+
+/// A doorway as a statement finds it.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    pub name: String,
+    pub group: String,
+    pub promise: Promise,
+    pub fall: bool,
+}
+
+/// Asked by the executor.
+pub struct Decider {
+    pub env: Env,
+    pub area: String,
+    pub journal: Rc<Journal>,
+    pub gauges: Rc<Gauges>,
+    pub pools: Rc<Pools>,
+    pub bounds: Bounds,
+    pub tricks: Tricks,
+}
+
+impl Decider {
+    /// Whether this node may take new work at all.
+    pub fn admit(&self) -> Result<(), Kind> {
+        let now = self.env.now();
+        let view = self.journal.view();
+        if view.emptied.contains_key(&self.area) {
+            return Err(Kind::Emptied);
+        }
+        match view.confirmed {
+            Some(t) if now <= t + self.bounds.confirm() => Ok(()),
+            _ if self.tricks.no_confirm && view.image.is_some() => Ok(()),
+            _ => Err(Kind::Unconfirmed),
+        }
+    }
+
+    /// Whether a transaction that is open may go on here.
+    pub fn stay(&self) -> Result<(), Kind> {
+        let now = self.env.now();
+        let view = self.journal.view();
+        if view.emptied.get(&self.area).is_some_and(|t| now > *t + self.bounds.leave()) {
+            return Err(Kind::Emptied);
+        }
+        match view.confirmed {
+            Some(t) if now <= t + self.bounds.confirm() => Ok(()),
+            _ if self.tricks.no_confirm => Ok(()),
+            _ => Err(Kind::Unconfirmed),
+        }
+    }
+
+    /// The doorway of a name.
+    pub fn gate(&self, name: &str) -> Result<Gate, Kind> {
+        let view = self.journal.view();
+        let image = view.image.as_ref().ok_or(Kind::Unconfirmed)?;
+        let d: &Doorway = image.doorways.iter().find(|d| d.name == name).ok_or(Kind::NoDatabase)?;
+        let promise = Promise::find(&d.promise).ok_or(Kind::NoDatabase)?;
+        Ok(Gate { name: d.name.clone(), group: d.group.clone(), promise, fall: d.fall })
+    }
+
+    /// How long a statement may take, by the operator's word.
+    pub fn limit(&self) -> (Duration, Duration) {
+        let view = self.journal.view();
+        let l = view.image.as_ref().and_then(|i| i.limits).unwrap_or_default();
+        let or = |n: u64, d: Duration| if n == 0 { d } else { Duration::from_millis(n) };
+        (or(l.statement_ms, self.bounds.statement()), or(l.idle_ms, self.bounds.idle()))
+    }
+
+    /// Whether a server must get no new work: draining, gone, or in an emptied area. Judged at every statement.
+    fn vetoed(&self, view: &View, server: &str, leads: bool) -> bool {
+        let now = self.env.now();
+        let Some(s) = view.servers.get(server) else { return true };
+        let emptied = view.emptied.get(&s.area).copied();
+        if leads {
+            // A leader works on until its successor does, but not past the bound.
+            let since = [s.draining, emptied].into_iter().flatten().min();
+            return since.is_some_and(|t| now > t + self.bounds.leave());
+        }
+        let dead = self.gauges.sight(server).fails > 0;
+        (s.draining.is_some() || s.gone.is_some() || emptied.is_some() || dead) && !self.tricks.no_veto
+    }
+
+    /// Whether a server may still be worked with.
+    pub fn open(&self, target: &Target) -> bool {
+        let leads = matches!(target.basis, Basis::Leader { .. });
+        let view = self.journal.view();
+        let allowed = view.image.as_ref().and_then(|i| i.home(&target.server)).is_some_and(|g| g.name == target.group);
+        allowed && !self.vetoed(&view, &target.server, leads)
+    }
+
+    fn leader(&self, view: &View, group: &str) -> Result<Target, Kind> {
+        let now = self.env.now();
+        let l = view.leads.get(group).ok_or(Kind::NoLeader)?;
+        if now >= l.until && !self.tricks.no_fence {
+            return Err(Kind::NoLeader);
+        }
+        if self.vetoed(view, &l.server, true) {
+            return Err(Kind::NoLeader);
+        }
+        Ok(Target { server: l.server.clone(), group: group.into(), basis: Basis::Leader { line: l.line } })
+    }
+
+    /// Where a write or a transaction may go.
+    pub fn write(&self, gate: &Gate) -> Order {
+        let now = self.env.now();
+        let view = self.journal.view();
+        let lead = match self.leader(&view, &gate.group) {
+            Ok(t) => t,
+            Err(k) => return Order::Return(k),
+        };
+        let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == gate.group)) else {
+            return Order::Return(Kind::NoDatabase);
+        };
+        // With no follower that receives, a commit could not be acknowledged: refuse while "not kept" is certain.
+        let since = now.saturating_sub(self.bounds.fresh());
+        if let Some((_, head)) = self.gauges.head(&gate.group, since) {
+            let follows = |s: &&String| **s != lead.server && self.gauges.holds(s, head);
+            if g.servers.len() > 1 && g.servers.iter().filter(follows).count() == 0 {
+                return Order::Return(Kind::NoServer);
+            }
+        }
+        Order::Send(lead)
+    }
+
+    /// Where a read may go: inside the standing list, less the vetoed, with the doorway's promise kept.
+    pub fn read(&self, gate: &Gate, key: &Key, token: Token, tried: &[String]) -> Order {
+        let view = self.journal.view();
+        let lead = self.leader(&view, &gate.group);
+        let own = gate.promise == Promise::Session && token.unsure;
+        if gate.promise == Promise::Leader || own {
+            return match lead {
+                Ok(t) if tried.iter().filter(|s| **s == t.server).count() < 2 => Order::Send(t),
+                Ok(_) => Order::Return(Kind::Failed),
+                Err(k) => Order::Return(k),
+            };
+        }
+        let leader = view.leads.get(&gate.group).map(|l| l.server.clone());
+        let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == gate.group)) else {
+            return Order::Return(Kind::NoDatabase);
+        };
+        let free: Vec<&String> = g
+            .servers
+            .iter()
+            .filter(|s| Some(*s) != leader.as_ref() && !tried.contains(s))
+            .filter(|s| !self.vetoed(&view, s, false) && self.pools.limit(s) > 1)
+            .collect();
+        let fit: Vec<(&String, Basis)> =
+            free.iter().filter_map(|s| Some((*s, self.promise(gate, token, s)?))).collect();
+        if let Some(t) = self.choose(gate, key, &fit) {
+            return Order::Send(t);
+        }
+        match lead {
+            Ok(t) if gate.fall && !tried.contains(&t.server) => Order::Send(t),
+            Ok(_) => Order::Return(Kind::NoServer),
+            Err(k) => Order::Return(k),
+        }
+    }
+
+    /// On what the promise would rest if this follower answered; `None` when it can't keep it.
+    fn promise(&self, gate: &Gate, token: Token, server: &str) -> Option<Basis> {
+        let now = self.env.now();
+        match gate.promise {
+            Promise::Leader => None,
+            Promise::Any => Some(Basis::Seen),
+            Promise::Session => (token.seen == Default::default() || self.gauges.holds(server, token.seen))
+                .then_some(Basis::Seen),
+            Promise::Bound if self.tricks.no_fresh => Some(Basis::Seen),
+            Promise::Bound => {
+                // A sixth of the bound is left for the way there and back.
+                let room = self.bounds.fresh() * 5 / 6;
+                let (asked, head) = self.gauges.head(&gate.group, now.saturating_sub(room))?;
+                self.gauges.holds(server, head).then_some(Basis::Head { asked })
+            }
+        }
+    }
+
+    fn choose(&self, gate: &Gate, key: &Key, fit: &[(&String, Basis)]) -> Option<Target> {
+        let mut lists = self.gauges.lists.borrow_mut();
+        let list = lists.entry(key.clone()).or_default();
+        let sampled = fit.iter().find(|(s, _)| {
+            !list.standing.has(s) && list.samples.get(*s).is_some_and(|n| *n > 0) && self.env.below(8) == 0
+        });
+        let (server, basis) = match sampled {
+            Some((s, b)) => {
+                if let Some(n) = list.samples.get_mut(*s) {
+                    *n -= 1;
+                }
+                (*s, b)
+            }
+            None => {
+                let within: Vec<_> = fit.iter().filter(|(s, _)| list.standing.has(s)).collect();
+                // Fails open to those that are left, never to a vetoed server or past the doorway.
+                let rows: Vec<_> = if within.is_empty() { fit.iter().collect() } else { within };
+                let pairs: Vec<(f64, f64)> = rows
+                    .iter()
+                    .map(|(s, _)| (list.weights.get(*s).copied().unwrap_or(1.0), self.pools.load(s)))
+                    .collect();
+                let roll = || self.env.below(1 << 20) as f64 / (1u64 << 20) as f64;
+                let (s, b) = rows[choose(&pairs, (roll(), roll()))?];
+                (*s, b)
+            }
+        };
+        Some(Target { server: server.clone(), group: gate.group.clone(), basis: basis.clone() })
+    }
+
+    /// Whether what a send rests on still stands; asked before the send and again before the answer.
+    pub fn still(&self, target: &Target) -> bool {
+        let now = self.env.now();
+        match target.basis {
+            Basis::Leader { line } => {
+                let view = self.journal.view();
+                let grant = view.leads.get(&target.group);
+                let stands = grant.is_some_and(|l| l.line == line && l.server == target.server && now < l.until);
+                stands || self.tricks.no_fence
+            }
+            Basis::Head { asked } => now <= asked + self.bounds.fresh(),
+            Basis::Seen => true,
+        }
+    }
+
+    /// Whether a commit at this place lies on a second server of the group; looks for it where that seems soonest.
+    pub fn second(&self, target: &Target, place: base::words::Position, all: bool) -> bool {
+        let view = self.journal.view();
+        let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == target.group)) else {
+            return false;
+        };
+        if g.servers.len() == 1 || self.tricks.no_second {
+            return true;
+        }
+        let others: Vec<&String> = g.servers.iter().filter(|s| **s != target.server).collect();
+        let held = |s: &&String| {
+            let x = self.gauges.sight(s);
+            x.place.line == place.line && x.place.index >= place.index
+        };
+        if others.iter().any(|s| held(s)) {
+            return true;
+        }
+        let near = others.iter().max_by_key(|s| {
+            let x = self.gauges.sight(s);
+            (x.fails == 0, x.place)
+        });
+        for s in others.iter().filter(|s| all || Some(*s) == near) {
+            self.gauges.look_for(s, place);
+        }
+        false
+    }
+}
--- /dev/null
+++ b/spoke/src/door/show.rs
@@ -0,0 +1,271 @@
+use std::{rc::Rc, time::Duration};
+
+use base::{http::Return, strict};
+use nanoserde::SerJson;
+use wire::relay::Relay;
+
+use crate::work::Works;
+
+strict! {
+    /// A spoke's state in short.
+    pub struct Status {
+        pub name: String,
+        pub area: String,
+        pub serving: bool,
+        pub why: String,
+        pub sequence: u64,
+        pub confirmed_ms: Option<u64>,
+        pub fed: bool,
+        pub parent: String,
+        pub depth: u64,
+        pub children: Vec<String>,
+        pub leads: Vec<LeadRow>,
+        pub emptied: Vec<String>,
+        pub pools: Vec<PoolRow>,
+        pub counts: Counts,
+    }
+}
+
+strict! {
+    /// A leader grant.
+    pub struct LeadRow {
+        pub group: String,
+        pub server: String,
+        pub line: u64,
+        pub left_ms: u64,
+    }
+}
+
+strict! {
+    /// The connections to one server.
+    pub struct PoolRow {
+        pub server: String,
+        pub share: u64,
+        pub open: u64,
+        pub used: u64,
+        pub waiting: u64,
+        pub lag: u64,
+        pub position: String,
+        pub draining: bool,
+        pub gone: bool,
+        pub cold: f64,
+    }
+}
+
+strict! {
+    /// Counts since the start.
+    pub struct Counts {
+        pub reads: u64,
+        pub writes: u64,
+        pub refused: u64,
+        pub unknown: u64,
+        pub retried: u64,
+        pub sessions: u64,
+        pub evaluations: u64,
+        pub readings: u64,
+        pub corrupt: u64,
+        pub relayed: u64,
+    }
+}
+
+strict! {
+    /// A standing list with the weights inside it.
+    pub struct ListRow {
+        pub database: String,
+        pub kind: String,
+        pub eligible: Vec<String>,
+        pub weights: Vec<WeightRow>,
+    }
+}
+
+strict! {
+    /// A server's weight.
+    pub struct WeightRow {
+        pub server: String,
+        pub weight: f64,
+    }
+}
+
+strict! {
+    /// One past evaluation.
+    pub struct DecisionRow {
+        pub ago_ms: u64,
+        pub fault: Option<String>,
+        pub servers: Vec<VerdictRow>,
+    }
+}
+
+strict! {
+    /// How a server fared.
+    pub struct VerdictRow {
+        pub server: String,
+        pub eligible: bool,
+        pub why: String,
+        pub error_rate: f64,
+        pub errors_total: u64,
+        pub requests_total: u64,
+        pub throttled_rate: f64,
+        pub p90: f64,
+        pub p95: f64,
+        pub p99: f64,
+        pub lag: u64,
+    }
+}
+
+/// Answers what operators look at on this very node.
+pub struct Show {
+    pub works: Rc<Works>,
+    pub relay: Rc<Relay>,
+}
+
+fn json(out: &impl SerJson) -> Return {
+    Return::new(200, out.serialize_json()).with("content-type", "application/json")
+}
+
+fn ms(d: Duration) -> u64 {
+    d.as_millis() as u64
+}
+
+impl Show {
+    /// The page of a path, if it is one of this node's own.
+    pub fn page(&self, path: &str) -> Option<Return> {
+        match path {
+            "/status" => Some(json(&self.status())),
+            "/metrics" => Some(self.metrics()),
+            "/lists" => Some(json(&self.lists())),
+            "/journal" => Some(json(&self.journal())),
+            _ => path.strip_prefix("/decisions/").map(|name| json(&self.decisions(name))),
+        }
+    }
+
+    fn counts(&self) -> Counts {
+        let t = &self.works.tally;
+        Counts {
+            reads: t.reads.get(),
+            writes: t.writes.get(),
+            refused: t.refused.get(),
+            unknown: t.unknown.get(),
+            retried: t.retried.get(),
+            sessions: t.sessions.get(),
+            evaluations: self.works.gauges.runs.get(),
+            readings: self.works.gauges.reads.get(),
+            corrupt: self.relay.corrupt.get(),
+            relayed: self.relay.handed.get(),
+        }
+    }
+
+    fn status(&self) -> Status {
+        let now = self.works.env.now();
+        let admit = self.works.decider.admit();
+        let view = self.works.journal.view();
+        let (parent, depth) = self.relay.place();
+        let leads = view.leads.iter().map(|(g, l)| LeadRow {
+            group: g.clone(),
+            server: l.server.clone(),
+            line: l.line,
+            left_ms: ms(l.until.saturating_sub(now)),
+        });
+        let pools = self.works.pools.all().into_iter().map(|(name, p)| {
+            let s = view.servers.get(&name).cloned().unwrap_or_default();
+            let x = self.works.gauges.sight(&name);
+            PoolRow {
+                server: name,
+                share: p.limit() as u64,
+                open: p.open() as u64,
+                used: p.used() as u64,
+                waiting: p.waiting() as u64,
+                lag: x.lag,
+                position: x.place.to_string(),
+                draining: s.draining.is_some(),
+                gone: s.gone.is_some(),
+                cold: s.cold,
+            }
+        });
+        Status {
+            name: self.relay.who.name.clone(),
+            area: self.relay.who.area.clone(),
+            serving: admit.is_ok(),
+            why: admit.err().map(|k| k.to_string()).unwrap_or_default(),
+            sequence: view.image.as_ref().map_or(0, |i| i.sequence),
+            confirmed_ms: view.confirmed.map(|c| ms(now.saturating_sub(c))),
+            fed: self.relay.fed(),
+            parent,
+            depth: u64::from(depth),
+            children: self.relay.children(),
+            leads: leads.collect(),
+            emptied: view.emptied.keys().cloned().collect(),
+            pools: pools.collect(),
+            counts: self.counts(),
+        }
+    }
+
+    fn metrics(&self) -> Return {
+        let c = self.counts();
+        let rows = [
+            ("reads_total", c.reads),
+            ("writes_total", c.writes),
+            ("refused_total", c.refused),
+            ("unknown_total", c.unknown),
+            ("retried_total", c.retried),
+            ("sessions_total", c.sessions),
+            ("evaluations_total", c.evaluations),
+            ("readings_total", c.readings),
+            ("corrupt_frames_total", c.corrupt),
+            ("relayed_frames_total", c.relayed),
+        ];
+        let mut text: String = rows.iter().map(|(n, v)| format!("portspoke_{n} {v}\n")).collect();
+        for (name, p) in self.works.pools.all() {
+            for (what, n) in [("share", p.limit()), ("open", p.open()), ("used", p.used()), ("waiting", p.waiting())] {
+                text.push_str(&format!("portspoke_connections_{what}{{server=\"{name}\"}} {n}\n"));
+            }
+        }
+        Return::new(200, text).with("content-type", "text/plain; version=0.0.4")
+    }
+
+    fn lists(&self) -> Vec<ListRow> {
+        let lists = self.works.gauges.lists.borrow();
+        let row = |((database, kind), l): (&crate::gauge::Key, &crate::gauge::List)| ListRow {
+            database: database.clone(),
+            kind: kind.clone(),
+            eligible: l.standing.set().map(<[_]>::to_vec).unwrap_or_default(),
+            weights: l.weights.iter().map(|(s, w)| WeightRow { server: s.clone(), weight: *w }).collect(),
+        };
+        lists.iter().map(row).collect()
+    }
+
+    fn journal(&self) -> Vec<String> {
+        let now = self.works.env.now();
+        let lines = self.works.journal.lines();
+        lines.into_iter().map(|(t, l)| format!("{} ms ago: {l}", ms(now.saturating_sub(t)))).collect()
+    }
+
+    /// The ring of past decisions of a database (`NAME` or `NAME/KIND`), newest first.
+    fn decisions(&self, name: &str) -> Vec<DecisionRow> {
+        let now = self.works.env.now();
+        let (name, kind) = name.split_once('/').unwrap_or((name, "*"));
+        let lists = self.works.gauges.lists.borrow();
+        let Some(list) = lists.get(&(name.to_string(), kind.to_string())) else { return Vec::new() };
+        let verdict = |v: &pick::Verdict| VerdictRow {
+            server: v.name.clone(),
+            eligible: v.eligible,
+            why: v.why.word().into(),
+            error_rate: v.metrics.error_rate,
+            errors_total: v.metrics.errors_total,
+            requests_total: v.metrics.requests_total,
+            throttled_rate: v.metrics.throttled_rate,
+            p90: v.metrics.p90,
+            p95: v.metrics.p95,
+            p99: v.metrics.p99,
+            lag: v.metrics.lag,
+        };
+        let rows: Vec<_> = list.standing.ring().collect();
+        rows.into_iter()
+            .rev()
+            .map(|d| DecisionRow {
+                ago_ms: ms(now.saturating_sub(d.at)),
+                fault: d.fault.clone(),
+                servers: d.rows.iter().map(verdict).collect(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/spoke/src/gauge/mod.rs
@@ -0,0 +1,172 @@
+//! What this node measures of the servers it talks to, and the standing lists made of it.
+
+mod sample;
+mod select;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{Bounds, bell::Bell, seam::Env, settings::PolicySettings, words::Position};
+use pick::{Outcome, Standing, Weights, Window};
+
+use crate::view::Journal;
+
+/// How many head readings of a group are kept.
+const HEADS: usize = 32;
+
+/// What one server last showed.
+#[derive(Clone, Debug, Default)]
+pub struct Sight {
+    pub place: Position,
+    /// When the newest answer came.
+    pub at: Option<Duration>,
+    pub lag: u64,
+    /// Readings in a row that brought nothing.
+    pub fails: u32,
+    /// A commit that someone waits to see here.
+    pub reach: Position,
+}
+
+/// A database, and a statement kind where lists are kept per kind (else `*`).
+pub type Key = (String, String);
+
+/// One standing list with its measurements and weights.
+#[derive(Default)]
+pub struct List {
+    pub windows: BTreeMap<String, Window>,
+    pub standing: Standing,
+    pub weights: Weights,
+    /// Real statements that excluded servers may still be given in this cycle.
+    pub samples: BTreeMap<String, u64>,
+}
+
+/// All measurements of this node.
+pub struct Gauges {
+    env: Env,
+    journal: Rc<Journal>,
+    pub bounds: RefCell<Bounds>,
+    pub policy: RefCell<PolicySettings>,
+    /// Rung when the policy was changed.
+    pub changed: Bell,
+    pub sights: RefCell<BTreeMap<String, Sight>>,
+    pub lists: RefCell<BTreeMap<Key, List>>,
+    heads: RefCell<BTreeMap<String, VecDeque<(Duration, Position)>>>,
+    /// Rung when a position was read.
+    pub moved: Bell,
+    /// Rung when someone waits for a position.
+    pub wanted: Bell,
+    /// Evaluations so far, all lists together.
+    pub runs: Cell<u64>,
+    /// Position readings so far.
+    pub reads: Cell<u64>,
+}
+
+/// How many statement kinds may have lists of their own.
+const KINDS: usize = 64;
+
+impl Gauges {
+    /// Nothing measured yet.
+    pub fn new(env: &Env, journal: Rc<Journal>, bounds: Bounds, policy: PolicySettings) -> Rc<Self> {
+        Rc::new(Self {
+            env: env.clone(),
+            journal,
+            bounds: RefCell::new(bounds),
+            policy: RefCell::new(policy),
+            changed: Bell::default(),
+            sights: RefCell::default(),
+            lists: RefCell::default(),
+            heads: RefCell::default(),
+            moved: Bell::default(),
+            wanted: Bell::default(),
+            runs: Cell::default(),
+            reads: Cell::default(),
+        })
+    }
+
+    /// The list a statement falls under.
+    pub fn key(&self, name: &str, label: &str) -> Key {
+        let kind = if self.policy.borrow().per_kind && !label.is_empty() { label } else { "*" };
+        (name.into(), kind.into())
+    }
+
+    /// Takes in how a statement ended.
+    pub fn record(&self, key: &Key, server: &str, out: Outcome, time: Duration) {
+        let now = self.env.now();
+        let span = Duration::from_millis(self.policy.borrow().window_ms);
+        let mut lists = self.lists.borrow_mut();
+        let key = if lists.len() >= KINDS && !lists.contains_key(key) { &(key.0.clone(), "*".into()) } else { key };
+        let list = lists.entry(key.clone()).or_default();
+        list.windows.entry(server.into()).or_insert_with(|| Window::new(span)).record(now, out, time);
+    }
+
+    /// Takes in how a position reading ended, for every list of the group.
+    fn record_probe(&self, server: &str, good: bool) {
+        let names: Vec<String> = {
+            let view = self.journal.view();
+            let Some(image) = &view.image else { return };
+            let Some(g) = image.home(server) else { return };
+            image.doorways.iter().filter(|d| d.group == g.name).map(|d| d.name.clone()).collect()
+        };
+        let out = if good { Outcome::Probe } else { Outcome::Error };
+        let keys: Vec<Key> = self.lists.borrow().keys().filter(|k| names.contains(&k.0)).cloned().collect();
+        for k in keys {
+            self.record(&k, server, out, Duration::ZERO);
+        }
+    }
+
+    /// Takes in a position that a server showed in answer to something sent at `asked`.
+    pub fn placed(&self, server: &str, asked: Duration, place: Position) {
+        let now = self.env.now();
+        let (group, lead) = {
+            let view = self.journal.view();
+            let Some(image) = &view.image else { return };
+            let Some(g) = image.home(server) else { return };
+            let lead = view.leads.get(&g.name).filter(|l| l.server == server && now < l.until).cloned();
+            (g.name.clone(), lead)
+        };
+        let known = self.heads.borrow().get(&group).and_then(|h| h.iter().rev().find(|x| x.0 <= asked).copied());
+        {
+            let mut sights = self.sights.borrow_mut();
+            let s = sights.entry(server.into()).or_default();
+            s.place = if place.line > s.place.line { place } else { s.place.max(place) };
+            s.at = Some(s.at.map_or(now, |t| t.max(now)));
+            s.fails = 0;
+            if let Some((_, head)) = known {
+                s.lag = head.index.saturating_sub(place.index);
+            }
+        }
+        if lead.is_some_and(|l| l.line == place.line) {
+            let mut heads = self.heads.borrow_mut();
+            let list = heads.entry(group).or_default();
+            // One reading for each small step of time is enough to find a fresh one.
+            let step = self.bounds.borrow().sample() / 4;
+            if list.back().is_none_or(|b| asked >= b.0 + step) {
+                list.push_back((asked, place));
+                if list.len() > HEADS {
+                    list.pop_front();
+                }
+            }
+        }
+        self.moved.ring();
+    }
+
+    /// The oldest reading of the group's head that was asked for at `from` or later.
+    pub fn head(&self, group: &str, from: Duration) -> Option<(Duration, Position)> {
+        self.heads.borrow().get(group)?.iter().find(|h| h.0 >= from).copied()
+    }
+
+    /// What a server last showed.
+    pub fn sight(&self, server: &str) -> Sight {
+        self.sights.borrow().get(server).cloned().unwrap_or_default()
+    }
+
+    /// Whether a server shows a position, on its line or a later one.
+    pub fn holds(&self, server: &str, place: Position) -> bool {
+        let s = self.sights.borrow();
+        s.get(server).is_some_and(|s| s.place.line >= place.line && s.place.index >= place.index)
+    }
+}
--- /dev/null
+++ b/spoke/src/gauge/sample.rs
@@ -0,0 +1,118 @@
+use std::{collections::BTreeMap, convert::Infallible, rc::Rc, time::Duration};
+
+use base::{
+    edge::backend,
+    seam::{Job, Part},
+    words::Position,
+};
+use bytes::Bytes;
+
+use super::Gauges;
+use crate::{pool::Pool, run::Pools, view::Event};
+
+impl Gauges {
+    /// Keeps one reading task for each server, in the standing list or not.
+    pub async fn samples(self: Rc<Self>, pools: Rc<Pools>) -> Result<(), Infallible> {
+        let mut jobs: BTreeMap<String, (Rc<Pool>, Job)> = BTreeMap::new();
+        loop {
+            let seen = pools.bell.count();
+            let all = pools.all();
+            jobs.retain(|s, (p, _)| all.get(s).is_some_and(|q| Rc::ptr_eq(p, q)));
+            for (s, p) in all {
+                jobs.entry(s).or_insert_with(|| {
+                    let (me, pool) = (self.clone(), p.clone());
+                    (p, self.env.spawn(async move { me.sample(pool).await }))
+                });
+            }
+            pools.bell.after(seen).await;
+        }
+    }
+
+    async fn sample(&self, pool: Rc<Pool>) {
+        let server = pool.server.clone();
+        loop {
+            let step = self.bounds.borrow().sample();
+            let span = self.bounds.borrow().call();
+            let slot = pool.get(self.env.now() + span).await;
+            let Ok(mut slot) = slot else {
+                if pool.limit() > 0 {
+                    self.missed(&server);
+                }
+                self.env.sleep(step / 2).await;
+                continue;
+            };
+            loop {
+                if pool.limit() == 0 {
+                    slot.spoil();
+                    break;
+                }
+                let seen = self.wanted.count();
+                let asked = self.env.now();
+                let reach = self.wants(&server);
+                let path = match reach {
+                    Some(p) => format!("{}?reach={p}", backend::PLACE),
+                    None => backend::PLACE.to_string(),
+                };
+                self.reads.set(self.reads.get() + 1);
+                let Ok(out) = slot.call(&path, &[], Bytes::new(), asked + span).await else {
+                    self.missed(&server);
+                    break;
+                };
+                let signs = backend::signs(&out);
+                let Some(place) = signs.place else {
+                    self.missed(&server);
+                    break;
+                };
+                self.record_probe(&server, true);
+                self.placed(&server, asked, place);
+                self.journal.append(Event::Draining { server: server.clone(), draining: signs.draining });
+                self.rest(&server, seen, step).await;
+            }
+            drop(slot);
+            self.env.sleep(step / 4).await;
+        }
+    }
+
+    /// Rests for a step, or until someone waits for a commit here.
+    async fn rest(&self, server: &str, mut seen: u64, step: Duration) {
+        let end = self.env.now() + step;
+        while self.wants(server).is_none() {
+            let left = end.saturating_sub(self.env.now());
+            if left.is_zero() || self.env.within(left, self.wanted.after(seen)).await.is_err() {
+                return;
+            }
+            seen = self.wanted.count();
+        }
+    }
+
+    fn wants(&self, server: &str) -> Option<Position> {
+        let s = self.sights.borrow();
+        let s = s.get(server)?;
+        (s.reach > s.place).then_some(s.reach)
+    }
+
+    fn missed(&self, server: &str) {
+        self.record_probe(server, false);
+        let mut sights = self.sights.borrow_mut();
+        let s = sights.entry(server.into()).or_default();
+        s.fails += 1;
+        if s.fails == 3 {
+            self.env.log(Part::Pool, format!("{server} does not answer"));
+        }
+        drop(sights);
+        self.moved.ring();
+    }
+
+    /// Asks a server's reading task to look for a commit.
+    pub fn look_for(&self, server: &str, place: Position) {
+        {
+            let mut sights = self.sights.borrow_mut();
+            let s = sights.entry(server.into()).or_default();
+            if s.reach >= place {
+                return;
+            }
+            s.reach = place;
+        }
+        self.wanted.ring();
+    }
+}
--- /dev/null
+++ b/spoke/src/gauge/select.rs
@@ -0,0 +1,118 @@
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use base::seam::Part;
+use pick::{Candidate, Policy, tune};
+
+use super::{Gauges, Key};
+
+impl Gauges {
+    /// Evaluates every list on the interval, never for a statement; and at once when the policy was changed.
+    pub async fn evaluations(self: Rc<Self>) -> Result<(), Infallible> {
+        let mut next = self.env.now();
+        let mut resample = self.env.now();
+        loop {
+            let seen = self.changed.count();
+            let now = self.env.now();
+            let p = self.policy.borrow().clone();
+            self.enlist();
+            if now >= next {
+                next = now + Duration::from_millis(p.eval_interval_ms);
+                let keys: Vec<Key> = self.lists.borrow().keys().cloned().collect();
+                keys.iter().for_each(|k| self.evaluate(k, now));
+            }
+            // A list that is new has no decision to hold yet.
+            let fresh: Vec<Key> =
+                self.lists.borrow().iter().filter(|(_, l)| l.standing.set().is_none()).map(|(k, _)| k.clone()).collect();
+            fresh.iter().for_each(|k| self.evaluate(k, now));
+            if p.resample && now >= resample {
+                resample = now + Duration::from_millis(p.resample_interval_ms);
+                self.refill(p.resample_count);
+            }
+            // Weights move inside the list; they are tuned twelve times an interval.
+            let step = Duration::from_millis(p.eval_interval_ms / 12).max(Duration::from_millis(10));
+            let _ = self.env.within(step.min(next.saturating_sub(now)), self.changed.after(seen)).await;
+            if self.changed.count() != seen {
+                next = self.env.now();
+                continue;
+            }
+            self.tune();
+        }
+    }
+
+    /// Gives each doorway its list.
+    fn enlist(&self) {
+        let view = self.journal.view();
+        let Some(image) = &view.image else { return };
+        let mut lists = self.lists.borrow_mut();
+        lists.retain(|k, _| image.doorways.iter().any(|d| d.name == k.0));
+        for d in &image.doorways {
+            lists.entry((d.name.clone(), "*".into())).or_default();
+        }
+    }
+
+    fn candidates(&self, key: &Key, now: Duration) -> Vec<Candidate> {
+        let view = self.journal.view();
+        let Some(image) = &view.image else { return Vec::new() };
+        let Some(d) = image.doorways.iter().find(|d| d.name == key.0) else { return Vec::new() };
+        let Some(g) = image.groups.iter().find(|g| g.name == d.group) else { return Vec::new() };
+        let lists = self.lists.borrow();
+        let sights = self.sights.borrow();
+        let spare = &self.policy.borrow().fallback;
+        let row = |s: &String| {
+            let lag = sights.get(s).map_or(0, |x| x.lag);
+            let metrics = match lists.get(key).and_then(|l| l.windows.get(s)) {
+                Some(w) => w.metrics(now, lag),
+                None => pick::Metrics { lag, ..Default::default() },
+            };
+            Candidate { name: s.clone(), fallback: spare.contains(s), metrics }
+        };
+        g.servers.iter().map(row).collect()
+    }
+
+    fn evaluate(&self, key: &Key, now: Duration) {
+        let p = self.policy.borrow().clone();
+        let policy =
+            Policy { max_error_rate: p.max_error_rate, max_lag: p.max_lag, min_healthy: p.min_healthy as usize };
+        let rows = self.candidates(key, now);
+        if rows.is_empty() {
+            return;
+        }
+        self.runs.set(self.runs.get() + 1);
+        let mut lists = self.lists.borrow_mut();
+        let Some(list) = lists.get_mut(key) else { return };
+        let span = Duration::from_millis(p.window_ms);
+        list.windows.values_mut().for_each(|w| w.resize(span));
+        list.windows.retain(|s, _| rows.iter().any(|r| r.name == *s));
+        let before = list.standing.set().map(<[_]>::to_vec);
+        let out = list.standing.evaluate(now, Duration::from_millis(p.history_ms), &policy, &rows);
+        let after = list.standing.set().map(<[_]>::to_vec);
+        if let Err(e) = out {
+            self.env.log(Part::Pick, format!("evaluation of {} failed, the last set stays: {e}", key.0));
+        } else if before != after {
+            let set = after.unwrap_or_default().join(" ");
+            self.env.log(Part::Pick, format!("{} reads from {set}", key.0));
+        }
+    }
+
+    fn refill(&self, count: u64) {
+        let mut lists = self.lists.borrow_mut();
+        for l in lists.values_mut() {
+            let Some(d) = l.standing.ring().last() else { continue };
+            l.samples = d.rows.iter().filter(|r| !r.eligible).map(|r| (r.name.clone(), count)).collect();
+        }
+    }
+
+    fn tune(&self) {
+        let now = self.env.now();
+        let keys: Vec<Key> = self.lists.borrow().keys().cloned().collect();
+        for k in keys {
+            let rows = self.candidates(&k, now);
+            let view = self.journal.view();
+            let mut lists = self.lists.borrow_mut();
+            let Some(list) = lists.get_mut(&k) else { continue };
+            let row = |c: &Candidate| view.servers.get(&c.name).map_or(0.0, |s| s.cold);
+            let rows = rows.iter().map(|c| (c.name.as_str(), c.metrics, row(c)));
+            list.weights = tune(&list.weights, rows);
+        }
+    }
+}
--- /dev/null
+++ b/spoke/src/lib.rs
@@ -0,0 +1,11 @@
+//! The data plane: callers' sessions, shared connections, reads by the standing list, writes by the leader grant.
+
+mod decide;
+mod door;
+mod gauge;
+mod pool;
+pub mod run;
+mod view;
+mod work;
+
+pub use run::{Spoke, Tricks, run};
--- /dev/null
+++ b/spoke/src/pool/mod.rs
@@ -0,0 +1,171 @@
+//! The connections to one server, within the share granted to this node.
+
+mod slot;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{Kind, http::Client, seam::Env};
+use futures::channel::oneshot;
+
+pub use slot::Slot;
+
+/// Whose session state a connection wears: session, database, how many of its statements.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Dress {
+    pub session: u64,
+    pub name: String,
+    pub count: usize,
+}
+
+struct Conn {
+    line: Client,
+    dress: Option<Dress>,
+}
+
+/// The connections to one server.
+pub struct Pool {
+    env: Env,
+    pub server: String,
+    pub addr: SocketAddr,
+    limit: Cell<usize>,
+    open: Cell<usize>,
+    used: Cell<usize>,
+    peak: Cell<usize>,
+    idle: RefCell<Vec<Conn>>,
+    inbox: RefCell<VecDeque<oneshot::Sender<Slot>>>,
+    most: usize,
+    /// How many connections were opened.
+    pub opened: Cell<u64>,
+    /// How many requests were turned away because the inbox was full.
+    pub full: Cell<u64>,
+}
+
+impl Pool {
+    /// A pool that may open nothing yet.
+    pub fn new(env: &Env, server: &str, addr: SocketAddr, most: usize) -> Rc<Self> {
+        Rc::new(Self {
+            env: env.clone(),
+            server: server.into(),
+            addr,
+            limit: Cell::new(0),
+            open: Cell::new(0),
+            used: Cell::new(0),
+            peak: Cell::new(0),
+            idle: RefCell::default(),
+            inbox: RefCell::default(),
+            most,
+            opened: Cell::new(0),
+            full: Cell::new(0),
+        })
+    }
+
+    /// How many connections are open or being opened.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// How many may be open.
+    pub fn limit(&self) -> usize {
+        self.limit.get()
+    }
+
+    /// How many sessions wait.
+    pub fn waiting(&self) -> usize {
+        self.inbox.borrow().len()
+    }
+
+    /// How many connections are in use.
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    /// What this pool could use: the most at once since last asked, those who wait, and one to spare.
+    pub fn want(&self) -> usize {
+        let want = self.peak.get() + self.waiting() + 1;
+        self.peak.set(self.used.get().max(self.peak.get() * 3 / 4));
+        want
+    }
+
+    /// Changes how many may be open; closes idle ones above it, lets those in who wait.
+    pub fn set_limit(self: &Rc<Self>, limit: usize) {
+        self.limit.set(limit);
+        while self.open.get() > limit {
+            let Some(c) = self.idle.borrow_mut().pop() else { break };
+            drop(c);
+            self.open.set(self.open.get() - 1);
+        }
+        if limit == 0 {
+            self.inbox.borrow_mut().clear();
+        }
+        self.admit();
+    }
+
+    fn admit(self: &Rc<Self>) {
+        while self.open.get() < self.limit.get() {
+            let Some(next) = self.inbox.borrow_mut().pop_front() else { return };
+            self.open.set(self.open.get() + 1);
+            // A waiter that has left gives the slot back as it is dropped.
+            let _ = next.send(Slot::new(self, None));
+        }
+    }
+
+    /// Waits in turn for a connection, until `due` at the latest.
+    pub async fn get(self: &Rc<Self>, due: Duration) -> Result<Slot, Kind> {
+        let mut slot = self.turn(due).await?;
+        slot.connect(due).await?;
+        Ok(slot)
+    }
+
+    async fn turn(self: &Rc<Self>, due: Duration) -> Result<Slot, Kind> {
+        if self.limit.get() == 0 {
+            return Err(Kind::NoServer);
+        }
+        loop {
+            let Some(c) = self.idle.borrow_mut().pop() else { break };
+            if c.line.open() {
+                return Ok(Slot::new(self, Some(c)));
+            }
+            self.open.set(self.open.get() - 1);
+        }
+        if self.open.get() < self.limit.get() {
+            self.open.set(self.open.get() + 1);
+            return Ok(Slot::new(self, None));
+        }
+        if self.inbox.borrow().len() >= self.most {
+            self.full.set(self.full.get() + 1);
+            return Err(Kind::Full);
+        }
+        let (give, wait) = oneshot::channel();
+        self.inbox.borrow_mut().push_back(give);
+        let span = due.saturating_sub(self.env.now());
+        match self.env.within(span, wait).await {
+            Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(_)) => Err(Kind::NoServer),
+            Err(_) => Err(Kind::Due),
+        }
+    }
+
+    fn back(self: &Rc<Self>, conn: Option<Conn>) {
+        match conn {
+            Some(c) if c.line.open() && self.open.get() <= self.limit.get() => {
+                let next = self.inbox.borrow_mut().pop_front();
+                match next {
+                    Some(n) => {
+                        let _ = n.send(Slot::new(self, Some(c)));
+                    }
+                    None => self.idle.borrow_mut().push(c),
+                }
+            }
+            _ => {
+                self.open.set(self.open.get() - 1);
+                self.admit();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/spoke/src/run.rs
@@ -0,0 +1,289 @@
+//! Puts a spoke together and runs it under its supervisor.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    convert::Infallible,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{
+    bell::Bell,
+    http::{self, Door, Session},
+    seam::{Env, Part},
+    settings::{Place, PolicySettings},
+    tree::Tree,
+};
+use wire::{
+    Ask, AskReturn, Beat, BeatReturn, Body, Held, Hello, Lead, News, Out, Sight,
+    relay::{Head, Relay, Who},
+};
+
+use crate::{
+    decide::Decider,
+    door::{Guest, Show},
+    gauge::Gauges,
+    pool::Pool,
+    view::{Event, Journal},
+    work::{Caller, Works},
+};
+
+/// Guards that tests take away to see that they are needed; the programs leave all in place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tricks {
+    /// Send a write again though its bytes may have left.
+    pub resend: bool,
+    /// Act on leader grants that ran out.
+    pub no_fence: bool,
+    /// Acknowledge without a second server.
+    pub no_second: bool,
+    /// Read from followers whatever their position.
+    pub no_fresh: bool,
+    /// Serve without the leading hub's confirmation.
+    pub no_confirm: bool,
+    /// Send to draining, gone and emptied servers.
+    pub no_veto: bool,
+}
+
+/// The pools of all servers.
+pub struct Pools {
+    env: Env,
+    most: usize,
+    map: RefCell<BTreeMap<String, Rc<Pool>>>,
+    /// Rung when a pool came or went.
+    pub bell: Bell,
+}
+
+impl Pools {
+    fn new(env: &Env, most: usize) -> Rc<Self> {
+        Rc::new(Self { env: env.clone(), most, map: RefCell::default(), bell: Bell::default() })
+    }
+
+    /// The pool of a server.
+    pub fn get(&self, server: &str) -> Option<Rc<Pool>> {
+        self.map.borrow().get(server).cloned()
+    }
+
+    /// Every pool.
+    pub fn all(&self) -> BTreeMap<String, Rc<Pool>> {
+        self.map.borrow().clone()
+    }
+
+    /// How many connections a server's pool may open.
+    pub fn limit(&self, server: &str) -> usize {
+        self.map.borrow().get(server).map_or(0, |p| p.limit())
+    }
+
+    /// How busy a server's pool is, as a part of its share.
+    pub fn load(&self, server: &str) -> f64 {
+        let map = self.map.borrow();
+        map.get(server).map_or(1.0, |p| (p.used() + p.waiting()) as f64 / p.limit().max(1) as f64)
+    }
+
+    /// Follows the view: a pool for each server, each within its share while that stands.
+    async fn follow(self: Rc<Self>, journal: Rc<Journal>, step: Duration) -> Result<(), Infallible> {
+        loop {
+            let seen = journal.bell.count();
+            self.settle(&journal);
+            let _ = self.env.within(step, journal.bell.after(seen)).await;
+        }
+    }
+
+    fn settle(&self, journal: &Journal) {
+        let now = self.env.now();
+        let mut moved = false;
+        {
+            let view = journal.view();
+            let mut map = self.map.borrow_mut();
+            let allowed = |s: &str| view.image.as_ref().is_some_and(|i| i.home(s).is_some());
+            map.retain(|name, pool| {
+                let at = view.servers.get(name).map(|s| s.addr.as_str());
+                let keep = allowed(name) && at == Some(&pool.addr.to_string());
+                if !keep {
+                    pool.set_limit(0);
+                    moved = true;
+                }
+                keep
+            });
+            for (name, s) in view.servers.iter().filter(|(n, _)| allowed(n)) {
+                let Ok(addr) = s.addr.parse() else { continue };
+                if !map.contains_key(name) {
+                    map.insert(name.clone(), Pool::new(&self.env, name, addr, self.most));
+                    moved = true;
+                }
+            }
+        }
+        for (name, pool) in self.all() {
+            let share = journal.view().shares.get(&name).copied();
+            let limit = share.filter(|(_, until)| now < *until).map_or(0, |(n, _)| n as usize);
+            if limit != pool.limit() {
+                pool.set_limit(limit);
+            }
+        }
+        if moved {
+            self.bell.ring();
+        }
+    }
+}
+
+struct Node {
+    env: Env,
+    journal: Rc<Journal>,
+    gauges: Rc<Gauges>,
+    pools: Rc<Pools>,
+}
+
+impl Head for Node {
+    fn rooted(&self) -> bool {
+        false
+    }
+
+    fn beat(&self, beat: &mut Beat) {
+        let now = self.env.now();
+        let view = self.journal.view();
+        for (name, pool) in self.pools.all() {
+            let count = pool.limit().max(pool.open()) as u64;
+            beat.shares.push(Held { server: name.clone(), count, want: pool.want() as u64 });
+            if pool.limit() > 0 {
+                let x = self.gauges.sight(&name);
+                let age = x.at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64);
+                beat.sights.push(Sight { server: name, age, line: x.place.line, index: x.place.index });
+            }
+        }
+        for (group, l) in view.leads.iter().filter(|(_, l)| now < l.until) {
+            beat.leads.push(Lead { group: group.clone(), server: l.server.clone(), line: l.line, span: 0 });
+        }
+    }
+
+    fn returned(&self, ret: BeatReturn, sent: Duration) {
+        self.journal.append(Event::Returned { ret, sent });
+    }
+
+    fn news(&self, news: &Rc<News>) {
+        self.journal.append(Event::News(news.clone()));
+    }
+
+    fn beaten(&self, _beat: Beat) -> Option<BeatReturn> {
+        None
+    }
+
+    fn asked(&self, _ask: Ask, _done: Box<dyn FnOnce(AskReturn)>) {}
+
+    fn other(&self, _from: &Hello, _body: Body, _out: &Out) {}
+}
+
+/// A running spoke.
+pub struct Spoke {
+    env: Env,
+    pub relay: Rc<Relay>,
+    pub door: Door,
+    gauges: Rc<Gauges>,
+    works: Rc<Works>,
+    bounds: base::Bounds,
+    _tree: Tree,
+}
+
+/// Starts a spoke; it runs for as long as the returned value lives.
+pub async fn run(env: &Env, place: &Place, tricks: Tricks) -> std::io::Result<Spoke> {
+    let who = Who {
+        name: place.name.clone(),
+        area: place.area.clone(),
+        hub: false,
+        peer: place.peer,
+        http: place.http,
+        seeds: place.seeds.clone(),
+        boot: env.rand(),
+    };
+    let peer = env.listen(place.peer).await?;
+    let sock = env.listen(place.http).await?;
+    let bounds = place.bounds.clone();
+    let journal = Journal::new(env);
+    let pools = Pools::new(env, place.most_inbox);
+    let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone());
+    let relay = Relay::new(env, who.clone(), bounds.clone());
+    relay.lead(Rc::new(Node {
+        env: env.clone(),
+        journal: journal.clone(),
+        gauges: gauges.clone(),
+        pools: pools.clone(),
+    }));
+    let door = Door::new(place.most_sessions, place.most_body);
+    let decider = Decider {
+        env: env.clone(),
+        area: place.area.clone(),
+        journal: journal.clone(),
+        gauges: gauges.clone(),
+        pools: pools.clone(),
+        bounds: bounds.clone(),
+        tricks,
+    };
+    let works = Rc::new(Works {
+        env: env.clone(),
+        decider,
+        gauges: gauges.clone(),
+        journal: journal.clone(),
+        pools: pools.clone(),
+        tally: Default::default(),
+        ids: Cell::new(0),
+    });
+
+    let mut tree = Tree::new(env);
+    let r = relay.clone();
+    tree.child("serve", move || r.clone().serve(peer.clone()));
+    let r = relay.clone();
+    tree.child("join", move || r.clone().join());
+    let r = relay.clone();
+    tree.child("beats", move || r.clone().beats());
+    let (p, j, step) = (pools.clone(), journal.clone(), bounds.pulse());
+    tree.child("pools", move || p.clone().follow(j.clone(), step));
+    let (g, p) = (gauges.clone(), pools.clone());
+    tree.child("samples", move || g.clone().samples(p.clone()));
+    let g = gauges.clone();
+    tree.child("evaluations", move || g.clone().evaluations());
+    let show = Rc::new(Show { works: works.clone(), relay: relay.clone() });
+    let (e, d, w, r, b) = (env.clone(), door.clone(), works.clone(), relay.clone(), bounds.clone());
+    tree.child("door", move || {
+        let (w, r, b, s) = (w.clone(), r.clone(), b.clone(), show.clone());
+        let make = Rc::new(move || {
+            Rc::new(Guest {
+                caller: Caller::new(&w),
+                relay: r.clone(),
+                bounds: b.clone(),
+                show: s.clone(),
+            }) as Rc<dyn Session>
+        });
+        http::serve(e.clone(), sock.clone(), d.clone(), make)
+    });
+    env.log(Part::Main, format!("spoke {} in area {} serves {}", who.name, who.area, place.http));
+    Ok(Spoke { env: env.clone(), relay, door, gauges, works, bounds, _tree: tree })
+}
+
+impl Spoke {
+    /// Takes a changed policy; the standing lists are evaluated anew at once.
+    pub fn policy(&self, new: &PolicySettings) {
+        if *self.gauges.policy.borrow() == *new {
+            return;
+        }
+        *self.gauges.policy.borrow_mut() = new.clone();
+        self.gauges.changed.ring();
+        self.env.log(Part::Pick, "the policy was changed");
+    }
+
+    /// Lets what is in flight end, hands everything back, closes the doors.
+    pub async fn leave(&self) {
+        self.door.close();
+        let end = self.env.now() + self.bounds.statement();
+        while self.door.open.get() > 0 && self.env.now() < end {
+            self.env.sleep(self.bounds.pulse() / 4).await;
+        }
+        self.relay.leave();
+        self.env.sleep(self.bounds.pulse()).await;
+        self.env.log(Part::Main, format!("{} sessions left open at the end", self.door.open.get()));
+    }
+
+    /// How many sessions were ever opened.
+    pub fn sessions(&self) -> u64 {
+        self.works.tally.sessions.get()
+    }
+}
--- /dev/null
+++ b/spoke/src/view/fold.rs
@@ -0,0 +1,86 @@
+use std::{rc::Rc, time::Duration};
+
+use wire::{Mark, News};
+
+use super::{Event, Lead, Server, View};
+
+impl View {
+    /// Folds one event in; gives a line for the journal when it changed something.
+    pub(super) fn fold(&mut self, now: Duration, event: Event) -> Option<String> {
+        match event {
+            Event::News(news) => self.news(now, &news),
+            Event::Returned { ret, sent } => {
+                let leads: std::collections::BTreeMap<_, _> = ret
+                    .leads
+                    .into_iter()
+                    .map(|l| {
+                        let until = sent + Duration::from_millis(l.span);
+                        (l.group, Lead { server: l.server, line: l.line, until })
+                    })
+                    .collect();
+                let moved = leads.iter().any(|(g, l)| self.leads.get(g).is_none_or(|o| o.line != l.line))
+                    || self.leads.keys().any(|g| !leads.contains_key(g));
+                self.leads = leads;
+                for s in ret.shares {
+                    self.shares.insert(s.server, (s.count, sent + Duration::from_millis(s.span)));
+                }
+                self.waits.push((sent, ret.mark.unwrap_or_default()));
+                if self.waits.len() > 32 {
+                    self.waits.remove(0);
+                }
+                self.confirm();
+                moved.then(|| {
+                    let all: Vec<_> = self.leads.iter().map(|(g, l)| format!("{g}={}@{}", l.server, l.line)).collect();
+                    format!("leads {}", all.join(" "))
+                })
+            }
+            Event::Draining { server, draining } => {
+                let s = self.servers.get_mut(&server)?;
+                if draining == s.draining.is_some() {
+                    return None;
+                }
+                s.draining = draining.then_some(now);
+                Some(format!("{server} draining {draining}"))
+            }
+        }
+    }
+
+    fn news(&mut self, now: Duration, news: &Rc<News>) -> Option<String> {
+        let mark: Mark = news.mark.unwrap_or_default();
+        let image = news.image.clone()?;
+        // Never back to an older word, whoever sends it.
+        if mark <= self.mark || self.image.as_ref().is_some_and(|i| image.sequence < i.sequence) {
+            return None;
+        }
+        self.mark = mark;
+        for s in &news.servers {
+            let old = self.servers.get(&s.name);
+            let since = |was: Option<Duration>, is: bool| is.then(|| was.unwrap_or(now));
+            let next = Server {
+                addr: s.addr.clone(),
+                area: s.area.clone(),
+                draining: since(old.and_then(|o| o.draining), s.draining),
+                gone: since(old.and_then(|o| o.gone), s.gone),
+                cold: f64::from(s.cold) / 1000.0,
+            };
+            self.servers.insert(s.name.clone(), next);
+        }
+        self.servers.retain(|n, _| image.home(n).is_some() || news.servers.iter().any(|s| s.name == *n));
+        self.emptied.retain(|a, _| image.emptied.contains(a));
+        for a in &image.emptied {
+            self.emptied.entry(a.clone()).or_insert(now);
+        }
+        let line = format!("news {}.{} sequence {}", mark.term, mark.count, image.sequence);
+        self.image = Some(Rc::new(image));
+        self.confirm();
+        Some(line)
+    }
+
+    fn confirm(&mut self) {
+        let mark = self.mark;
+        if let Some(t) = self.waits.iter().filter(|w| w.1 <= mark).map(|w| w.0).max() {
+            self.confirmed = Some(self.confirmed.map_or(t, |c| c.max(t)));
+            self.waits.retain(|w| w.1 > mark);
+        }
+    }
+}
--- /dev/null
+++ b/spoke/src/view/mod.rs
@@ -0,0 +1,104 @@
+//! What a spoke knows: events appended to a journal, and the view folded from them.
+
+mod fold;
+
+use std::{
+    cell::{Ref, RefCell},
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{bell::Bell, seam::Env};
+use wire::{BeatReturn, Image, Mark, News};
+
+/// How many events the journal keeps for inspection.
+const MOST: usize = 512;
+
+/// Something the spoke was told.
+pub enum Event {
+    News(Rc<News>),
+    Returned { ret: BeatReturn, sent: Duration },
+    /// A server said on the spoke's own connection that it is draining, or no longer.
+    Draining { server: String, draining: bool },
+}
+
+/// A server as the spoke knows it.
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    pub addr: String,
+    pub area: String,
+    /// Since when it is known to drain.
+    pub draining: Option<Duration>,
+    /// Since when it is known to be gone.
+    pub gone: Option<Duration>,
+    pub cold: f64,
+}
+
+/// The leave to act on a leader.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lead {
+    pub server: String,
+    pub line: u64,
+    pub until: Duration,
+}
+
+/// Folded from all events so far.
+#[derive(Default)]
+pub struct View {
+    pub image: Option<Rc<Image>>,
+    pub servers: BTreeMap<String, Server>,
+    /// Since when each emptied area is known to be emptied.
+    pub emptied: BTreeMap<String, Duration>,
+    pub leads: BTreeMap<String, Lead>,
+    pub shares: BTreeMap<String, (u64, Duration)>,
+    pub mark: Mark,
+    /// The leading hub's word was the newest at this time.
+    pub confirmed: Option<Duration>,
+    waits: Vec<(Duration, Mark)>,
+}
+
+/// The journal and its view.
+pub struct Journal {
+    env: Env,
+    ring: RefCell<VecDeque<(Duration, String)>>,
+    view: RefCell<View>,
+    /// Rung after each event.
+    pub bell: Bell,
+}
+
+impl Journal {
+    /// An empty journal.
+    pub fn new(env: &Env) -> Rc<Self> {
+        Rc::new(Self {
+            env: env.clone(),
+            ring: RefCell::default(),
+            view: RefCell::default(),
+            bell: Bell::default(),
+        })
+    }
+
+    /// Appends an event and folds it into the view.
+    pub fn append(&self, event: Event) {
+        let now = self.env.now();
+        let line = self.view.borrow_mut().fold(now, event);
+        if let Some(l) = line {
+            let mut ring = self.ring.borrow_mut();
+            if ring.len() == MOST {
+                ring.pop_front();
+            }
+            ring.push_back((now, l));
+        }
+        self.bell.ring();
+    }
+
+    /// The view as it stands.
+    pub fn view(&self) -> Ref<'_, View> {
+        self.view.borrow()
+    }
+
+    /// The newest events, oldest first.
+    pub fn lines(&self) -> Vec<(Duration, String)> {
+        self.ring.borrow().iter().cloned().collect()
+    }
+}
--- /dev/null
+++ b/spoke/src/work/read.rs
@@ -0,0 +1,102 @@
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use base::{
+    Kind,
+    edge::{
+        self, backend,
+        caller::{self, Verb, Word},
+    },
+    http::Return,
+};
+use bytes::Bytes;
+
+use super::{Works, bump, session::Store};
+use crate::{
+    decide::{Gate, Order},
+    gauge::Key,
+    pool::Dress,
+};
+
+impl Works {
+    /// A single read.
+    pub async fn read(
+        self: &Rc<Self>,
+        store: &Rc<RefCell<Store>>,
+        gate: &Gate,
+        key: &Key,
+        word: &Word<'_>,
+        body: &Bytes,
+        due: Duration,
+    ) -> Return {
+        bump(&self.tally.reads);
+        self.read_as(store, gate, key, word, body, due).await
+    }
+
+    /// A statement that changes nothing kept, and so may be sent again elsewhere.
+    pub(super) async fn read_as(
+        self: &Rc<Self>,
+        store: &Rc<RefCell<Store>>,
+        gate: &Gate,
+        key: &Key,
+        word: &Word<'_>,
+        body: &Bytes,
+        due: Duration,
+    ) -> Return {
+        let token = store.borrow().token;
+        let (dress, state) = self.state_of(store, &gate.name);
+        let mut tried: Vec<String> = Vec::new();
+        let mut last = Kind::NoServer;
+        while tried.len() <= super::SENDS && self.env.now() < due {
+            if !tried.is_empty() {
+                bump(&self.tally.retried);
+            }
+            let target = match self.decider.read(gate, key, token, &tried) {
+                Order::Send(t) => t,
+                Order::Return(k) => return edge::refuse(if tried.is_empty() { k } else { last }, "", None),
+            };
+            let Some(pool) = self.pools.get(&target.server) else {
+                tried.push(target.server);
+                continue;
+            };
+            let mut slot = match pool.get(due).await {
+                Ok(s) => s,
+                Err(k @ (Kind::Full | Kind::Due)) => return edge::refuse(k, "", None),
+                Err(k) => {
+                    last = k;
+                    tried.push(target.server);
+                    continue;
+                }
+            };
+            let dressed = slot.dress(&dress, &state, due).await.is_ok();
+            // Time was spent in the inbox: what the send rests on is looked at anew.
+            if !dressed || !self.decider.still(&target) || !self.decider.open(&target) || self.decider.stay().is_err() {
+                last = Kind::NoServer;
+                tried.push(target.server);
+                continue;
+            }
+            let asked = self.env.now();
+            let head = [(caller::SEND, word.send.to_string())];
+            let Ok(out) = slot.call(backend::path(word.verb), &head, body.clone(), due).await else {
+                self.gauges.record(key, &target.server, pick::Outcome::Error, self.env.now() - asked);
+                last = Kind::Failed;
+                tried.push(target.server);
+                continue;
+            };
+            let signs = self.note(key, &slot, &out, asked);
+            if signs.untaken || signs.throttled || signs.failed || !self.decider.still(&target) {
+                last = Kind::Failed;
+                tried.push(target.server);
+                continue;
+            }
+            if matches!(word.verb, Verb::Set | Verb::Prepare) && out.code < 300 {
+                let count = dress.count + 1;
+                let id = store.borrow().id;
+                slot.wore(Dress { session: id, name: gate.name.clone(), count });
+            }
+            drop(slot);
+            return self.hand_on(out, &target.server, token);
+        }
+        let kind = if self.env.now() >= due { Kind::Due } else { last };
+        edge::refuse(kind, "", None)
+    }
+}
--- /dev/null
+++ b/spoke/src/work/session.rs
@@ -0,0 +1,209 @@
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use base::{
+    Kind,
+    edge::{
+        self, backend,
+        caller::{self, Token, Verb, Word},
+    },
+    error::Kept,
+    http::{Ask, Return, Session},
+    seam::{Job, Local},
+};
+use bytes::Bytes;
+use futures::channel::oneshot;
+
+use super::{Works, bump};
+use crate::{
+    decide::Target,
+    gauge::Key,
+    pool::{Dress, Slot},
+};
+
+/// How many session statements one session may have for one database.
+pub const STATES: usize = 64;
+
+/// An open transaction.
+pub struct Trans {
+    pub slot: Slot,
+    pub target: Target,
+    pub name: String,
+    /// Ends the transaction when it sits idle too long.
+    pub idle: Option<Job>,
+}
+
+/// What a transaction that was ended for the caller leaves behind.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ended(pub Kind);
+
+/// What a session owns.
+#[derive(Default)]
+pub struct Store {
+    pub id: u64,
+    pub token: Token,
+    pub states: BTreeMap<String, Vec<(Verb, Bytes)>>,
+    pub trans: Option<Trans>,
+    pub ended: Option<Ended>,
+    pub gone: bool,
+    /// A request is being worked on.
+    pub busy: bool,
+}
+
+/// One caller's connection: its session.
+pub struct Caller {
+    works: Rc<Works>,
+    store: Rc<RefCell<Store>>,
+}
+
+impl Caller {
+    /// A session with no state.
+    pub fn new(works: &Rc<Works>) -> Self {
+        works.ids.set(works.ids.get() + 1);
+        bump(&works.tally.sessions);
+        let store = Store { id: works.ids.get(), ..Store::default() };
+        Self { works: works.clone(), store: Rc::new(RefCell::new(store)) }
+    }
+}
+
+impl Session for Caller {
+    fn call(&self, ask: Ask) -> Local<Return> {
+        let (works, store) = (self.works.clone(), self.store.clone());
+        Box::pin(async move {
+            let (done, wait) = oneshot::channel();
+            // In a task of its own: a caller who leaves must not leave a server half-way through a statement.
+            let env = works.env.clone();
+            store.borrow_mut().busy = true;
+            env.spawn(async move {
+                let out = works.serve(&store, &ask).await;
+                store.borrow_mut().busy = false;
+                let _ = done.send(out);
+                works.part(&store);
+            })
+            .detach();
+            wait.await.unwrap_or_else(|_| edge::refuse(Kind::Failed, "", Some(Kept::Unknown)))
+        })
+    }
+
+    fn free(&self) -> bool {
+        let s = self.store.borrow();
+        s.trans.is_none() && !s.busy
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.store.borrow_mut().gone = true;
+        self.works.part(&self.store);
+    }
+}
+
+impl Works {
+    /// Rolls back what a caller who left had open.
+    fn part(self: &Rc<Self>, store: &Rc<RefCell<Store>>) {
+        if !store.borrow().gone {
+            return;
+        }
+        if let Some(t) = store.borrow_mut().trans.take() {
+            let me = self.clone();
+            self.env.spawn(async move { me.roll_back(t).await }).detach();
+        }
+    }
+
+    /// Rolls back at the server; a connection that doesn't show it did is closed.
+    pub async fn roll_back(&self, mut t: Trans) {
+        let due = self.env.now() + self.decider.bounds.call();
+        let out = t.slot.call(backend::path(Verb::Rollback), &[], Bytes::new(), due).await;
+        if !matches!(&out, Ok(o) if o.code < 300) {
+            t.slot.spoil();
+        }
+    }
+
+    /// Answers one request of a session.
+    async fn serve(self: &Rc<Self>, store: &Rc<RefCell<Store>>, ask: &Ask) -> Return {
+        let word = match caller::read(ask) {
+            Ok(w) => w,
+            Err(k) => return edge::refuse(k, "", Some(Kept::No)),
+        };
+        if let Some(t) = word.token {
+            store.borrow_mut().token.join(t);
+        }
+        let (most, _) = self.decider.limit();
+        let due = self.env.now() + word.due.unwrap_or(most).min(most);
+        let open = store.borrow().trans.is_some();
+        if open {
+            return self.within(store, &word, &ask.body, due).await;
+        }
+        let ended = store.borrow_mut().ended.take();
+        if let Some(Ended(kind)) = ended {
+            if !matches!(word.verb, Verb::Begin | Verb::Rollback) {
+                return edge::refuse(kind, "the transaction was ended and nothing of it kept", Some(Kept::No));
+            }
+        }
+        if let Err(k) = self.decider.admit() {
+            bump(&self.tally.refused);
+            let mut out = edge::refuse(k, "", Some(Kept::No));
+            out.close = k == Kind::Emptied;
+            return out;
+        }
+        let gate = match self.decider.gate(word.name) {
+            Ok(g) => g,
+            Err(k) => return edge::refuse(k, "", Some(Kept::No)),
+        };
+        let key = self.gauges.key(word.name, word.label);
+        let out = match word.verb {
+            Verb::Read => self.read(store, &gate, &key, &word, &ask.body, due).await,
+            Verb::Write => self.write(store, &gate, &key, &word, &ask.body, due).await,
+            Verb::Begin => self.begin(store, &gate, &key, &word, &ask.body, due).await,
+            Verb::Set | Verb::Prepare => self.state(store, &gate, &key, &word, &ask.body, due).await,
+            Verb::Rollback if ended.is_some() => Return::new(200, "{}"),
+            Verb::Commit | Verb::Rollback => edge::refuse(Kind::Order, "no transaction is open", Some(Kept::No)),
+        };
+        if out.code == 503 {
+            bump(&self.tally.refused);
+        }
+        if out.code == 504 {
+            bump(&self.tally.unknown);
+        }
+        out
+    }
+
+    /// The session's state for a database, and the mark a connection wears for it.
+    pub fn state_of(&self, store: &RefCell<Store>, name: &str) -> (Dress, Vec<(Verb, Bytes)>) {
+        let s = store.borrow();
+        let list = s.states.get(name).cloned().unwrap_or_default();
+        let dress = if list.is_empty() {
+            Dress::default()
+        } else {
+            Dress { session: s.id, name: name.into(), count: list.len() }
+        };
+        (dress, list)
+    }
+
+    /// Adds a statement to the session's state once a server has taken it.
+    async fn state(
+        self: &Rc<Self>,
+        store: &Rc<RefCell<Store>>,
+        gate: &crate::decide::Gate,
+        key: &Key,
+        word: &Word<'_>,
+        body: &Bytes,
+        due: Duration,
+    ) -> Return {
+        if store.borrow().states.get(&gate.name).map_or(0, Vec::len) >= STATES {
+            return edge::refuse(Kind::Full, "the session has too many values and prepared names", Some(Kept::No));
+        }
+        let mut gate = gate.clone();
+        gate.promise = base::edge::operator::Promise::Any;
+        let out = self.read_as(store, &gate, key, word, body, due).await;
+        if out.code < 300 {
+            self.keep_state(store, &gate.name, word.verb, body);
+        }
+        out
+    }
+
+    /// Notes a session statement that a server took.
+    pub fn keep_state(&self, store: &RefCell<Store>, name: &str, verb: Verb, body: &Bytes) {
+        let mut s = store.borrow_mut();
+        s.states.entry(name.into()).or_default().push((verb, body.clone()));
+    }
+}
--- /dev/null
+++ b/spoke/src/work/trans.rs
@@ -0,0 +1,202 @@
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use base::{
+    Kind,
+    edge::{
+        self, backend,
+        caller::{self, Verb, Word},
+    },
+    error::Kept,
+    http::{Fault, Return},
+};
+use bytes::Bytes;
+
+use super::{
+    Works,
+    session::{Ended, STATES, Store, Trans},
+    write::line,
+};
+use crate::{
+    decide::{Gate, Order},
+    gauge::Key,
+    pool::Dress,
+};
+
+impl Works {
+    /// Opens a transaction on a connection of its own, at the leader.
+    pub async fn begin(
+        self: &Rc<Self>,
+        store: &Rc<RefCell<Store>>,
+        gate: &Gate,
+        key: &Key,
+        word: &Word<'_>,
+        body: &Bytes,
+        due: Duration,
+    ) -> Return {
+        let no = |k: Kind| edge::refuse(k, "", Some(Kept::No));
+        let (dress, state) = self.state_of(store, &gate.name);
+        let mut last = Kind::NoLeader;
+        for _ in 0..super::SENDS {
+            if self.env.now() >= due {
+                return no(Kind::Due);
+            }
+            let target = match self.decider.write(gate) {
+                Order::Send(t) => t,
+                Order::Return(k) => return no(k),
+            };
+            let Some(pool) = self.pools.get(&target.server) else { return no(Kind::NoServer) };
+            let mut slot = match pool.get(due).await {
+                Ok(s) => s,
+                Err(k @ (Kind::Full | Kind::Due)) => return no(k),
+                Err(k) => {
+                    last = k;
+                    continue;
+                }
+            };
+            if slot.dress(&dress, &state, due).await.is_err() {
+                last = Kind::NoServer;
+                continue;
+            }
+            if !self.decider.still(&target) || !self.decider.open(&target) || self.decider.stay().is_err() {
+                continue;
+            }
+            let asked = self.env.now();
+            let head = [(caller::SEND, word.send.to_string()), (backend::LINE, line(&target))];
+            // Nothing is kept of a transaction that got no further than its opening.
+            let Ok(out) = slot.call(backend::path(Verb::Begin), &head, body.clone(), due).await else {
+                self.gauges.record(key, &target.server, pick::Outcome::Error, self.env.now() - asked);
+                last = Kind::NoServer;
+                continue;
+            };
+            let signs = self.note(key, &slot, &out, asked);
+            if out.code >= 300 {
+                slot.spoil();
+                if signs.untaken || signs.failed {
+                    return no(if signs.throttled { Kind::Full } else { Kind::NoLeader });
+                }
+                return self.hand_on(out, &target.server, store.borrow().token).with(caller::KEPT, Kept::No);
+            }
+            let ret = self.hand_on(out, &target.server, store.borrow().token);
+            store.borrow_mut().trans = Some(Trans { slot, target, name: gate.name.clone(), idle: None });
+            self.watch(store);
+            return ret;
+        }
+        no(last)
+    }
+
+    /// Ends the transaction if nothing comes within the operator's limit.
+    fn watch(self: &Rc<Self>, store: &Rc<RefCell<Store>>) {
+        let (_, idle) = self.decider.limit();
+        let (me, weak) = (self.clone(), Rc::downgrade(store));
+        let job = self.env.spawn(async move {
+            me.env.sleep(idle).await;
+            let Some(store) = weak.upgrade() else { return };
+            let t = store.borrow_mut().trans.take();
+            if let Some(mut t) = t {
+                if let Some(j) = t.idle.take() {
+                    // This very task: it must not end itself.
+                    j.detach();
+                }
+                store.borrow_mut().ended = Some(Ended(Kind::Lost));
+                me.roll_back(t).await;
+            }
+        });
+        if let Some(t) = &mut store.borrow_mut().trans {
+            t.idle = Some(job);
+        }
+    }
+
+    /// A statement of an open transaction.
+    pub async fn within(
+        self: &Rc<Self>,
+        store: &Rc<RefCell<Store>>,
+        word: &Word<'_>,
+        body: &Bytes,
+        due: Duration,
+    ) -> Return {
+        let no = |k: Kind, text: &str| edge::refuse(k, text, Some(Kept::No));
+        let Some(mut t) = store.borrow_mut().trans.take() else { return no(Kind::Order, "") };
+        t.idle = None;
+        let put = |t: Trans, out: Return| {
+            store.borrow_mut().trans = Some(t);
+            self.watch(store);
+            out
+        };
+        if t.name != word.name {
+            return put(t, no(Kind::Order, "the open transaction is of another database"));
+        }
+        if word.verb == Verb::Begin {
+            return put(t, no(Kind::Order, "a transaction is open"));
+        }
+        if word.verb == Verb::Rollback {
+            let target = t.target.server.clone();
+            self.roll_back(t).await;
+            return Return::new(200, "{}").with(caller::SERVER, target).with(caller::KEPT, Kept::No);
+        }
+        // A leader grant that ended, a place being emptied: nothing of it may be committed.
+        let lost = !self.decider.still(&t.target) || !self.decider.open(&t.target);
+        if lost || self.decider.stay().is_err() {
+            let me = self.clone();
+            self.env.spawn(async move { me.roll_back(t).await }).detach();
+            return no(Kind::Lost, "the transaction can't go on; nothing of it is kept");
+        }
+        let key = self.gauges.key(word.name, word.label);
+        let asked = self.env.now();
+        let head = [(caller::SEND, word.send.to_string()), (backend::LINE, line(&t.target))];
+        let out = t.slot.call(backend::path(word.verb), &head, body.clone(), due).await;
+        let out = match out {
+            Ok(o) => o,
+            Err(fault) => {
+                self.gauges.record(&key, &t.target.server, pick::Outcome::Error, self.env.now() - asked);
+                if word.verb == Verb::Commit && fault == Fault::Unsure {
+                    return self.unsure(store);
+                }
+                return no(Kind::Lost, "the connection broke; nothing of the transaction is kept");
+            }
+        };
+        let signs = self.note(&key, &t.slot, &out, asked);
+        if word.verb == Verb::Commit {
+            return self.committed(store, t, signs, out, due).await;
+        }
+        if signs.failed || (word.verb == Verb::Read && !self.decider.still(&t.target)) {
+            let me = self.clone();
+            self.env.spawn(async move { me.roll_back(t).await }).detach();
+            return no(Kind::Lost, "the server failed; nothing of the transaction is kept");
+        }
+        if matches!(word.verb, Verb::Set | Verb::Prepare) && out.code < 300 {
+            let (id, count) = {
+                let s = store.borrow();
+                (s.id, s.states.get(&t.name).map_or(0, Vec::len))
+            };
+            if count >= STATES {
+                t.slot.spoil();
+            } else {
+                self.keep_state(store, &t.name, word.verb, body);
+                t.slot.wore(Dress { session: id, name: t.name.clone(), count: count + 1 });
+            }
+        }
+        let ret = self.hand_on(out, &t.target.server, store.borrow().token);
+        put(t, ret)
+    }
+
+    async fn committed(
+        self: &Rc<Self>,
+        store: &Rc<RefCell<Store>>,
+        mut t: Trans,
+        signs: backend::Signs,
+        out: Return,
+        due: Duration,
+    ) -> Return {
+        if out.code < 300 {
+            let target = t.target.clone();
+            drop(t);
+            return self.settle(store, &target, signs.place, out, due).await;
+        }
+        t.slot.spoil();
+        if signs.failed && !signs.untaken {
+            return self.unsure(store);
+        }
+        let token = store.borrow().token;
+        self.hand_on(out, &t.target.server, token).with(caller::KEPT, Kept::No)
+    }
+}
--- /dev/null
+++ b/spoke/tests/flags.rs
@@ -0,0 +1,54 @@
+//! Settings and flags of the program: what is refused, how it is told.
+
+use std::process::{Command, Output};
+
+fn spoke(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_spoke")).args(args).output().expect("the program runs")
+}
+
+fn told(out: &Output) -> String {
+    String::from_utf8_lossy(&out.stderr).into_owned() + &String::from_utf8_lossy(&out.stdout)
+}
+
+const GOOD: [&str; 14] = [
+    "--name", "n1", "--area", "north", "--http", "127.0.0.1:1", "--peer", "127.0.0.1:2", "--seed", "127.0.0.1:3",
+    "--seed", "127.0.0.1:4", "--seed", "127.0.0.1:5",
+];
+
+#[test]
+fn help_is_given() {
+    let out = spoke(&["--help"]);
+    assert!(out.status.success());
+    assert!(told(&out).contains("--file"));
+}
+
+#[test]
+fn good_flags_pass_the_check() {
+    let out = spoke(&[&GOOD[..], &["--check"]].concat());
+    assert!(out.status.success(), "{}", told(&out));
+}
+
+#[test]
+fn faults_name_their_field() {
+    let two = &GOOD[..12];
+    let out = spoke(two);
+    assert_eq!(out.status.code(), Some(78));
+    assert!(told(&out).contains("seeds: 2 addresses"), "{}", told(&out));
+    let out = spoke(&["--name", "n1"]);
+    assert_eq!(out.status.code(), Some(78));
+    assert!(told(&out).contains("--area"), "{}", told(&out));
+}
+
+#[test]
+fn a_file_with_an_unknown_field_is_refused_by_name() {
+    let dir = std::env::temp_dir().join(format!("portspoke-flags-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("s.json");
+    std::fs::write(&file, r#"{"name":"n1","area":"x","http":"127.0.0.1:1","peer":"127.0.0.1:2","seeds":[],"colour":1}"#)
+        .unwrap();
+    let out = spoke(&["--file", file.to_str().unwrap()]);
+    assert_eq!(out.status.code(), Some(78));
+    let text = told(&out);
+    assert!(text.contains("s.json") && text.contains("colour"), "{text}");
+    std::fs::remove_dir_all(&dir).unwrap();
+}
--- /dev/null
+++ b/wire/src/message.rs
@@ -0,0 +1,351 @@
+use prost::{Message, Oneof};
+
+use crate::Image;
+
+/// One frame of a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    pub body: Option<Body>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    #[prost(message, tag = "2")]
+    Beat(Beat),
+    #[prost(message, tag = "3")]
+    BeatReturn(BeatReturn),
+    #[prost(message, tag = "4")]
+    News(News),
+    #[prost(message, tag = "5")]
+    Ask(Ask),
+    #[prost(message, tag = "6")]
+    AskReturn(AskReturn),
+    #[prost(message, tag = "7")]
+    Vote(Vote),
+    #[prost(message, tag = "8")]
+    VoteReturn(VoteReturn),
+    #[prost(message, tag = "9")]
+    Pulse(Pulse),
+    #[prost(message, tag = "10")]
+    PulseReturn(PulseReturn),
+    #[prost(message, tag = "11")]
+    Root(Root),
+}
+
+/// The first frame of a link: who speaks.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub area: String,
+    #[prost(bool, tag = "3")]
+    pub hub: bool,
+    #[prost(string, tag = "4")]
+    pub peer: String,
+    /// A random number of this run of the process.
+    #[prost(uint64, tag = "5")]
+    pub boot: u64,
+    /// On control nodes: the incarnation of the disk.
+    #[prost(uint64, tag = "6")]
+    pub born: u64,
+    /// On control nodes: the disk remembers nothing.
+    #[prost(bool, tag = "7")]
+    pub blank: bool,
+}
+
+/// What a node says up the tree to the leading hub.
+#[derive(Clone, PartialEq, Message)]
+pub struct Beat {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    /// Ties the return to the time the beat was sent.
+    #[prost(uint64, tag = "3")]
+    pub nonce: u64,
+    #[prost(string, tag = "4")]
+    pub area: String,
+    #[prost(string, tag = "5")]
+    pub peer: String,
+    #[prost(string, tag = "6")]
+    pub http: String,
+    #[prost(message, repeated, tag = "7")]
+    pub shares: Vec<Held>,
+    #[prost(message, repeated, tag = "8")]
+    pub sights: Vec<Sight>,
+    #[prost(message, optional, tag = "9")]
+    pub seen: Option<Mark>,
+    /// The node is going down and hands everything back.
+    #[prost(bool, tag = "10")]
+    pub leaving: bool,
+    /// How far from a hub the node sits.
+    #[prost(uint32, tag = "11")]
+    pub depth: u32,
+    #[prost(string, tag = "12")]
+    pub parent: String,
+    /// The leader grants the node still holds.
+    #[prost(message, repeated, tag = "13")]
+    pub leads: Vec<Lead>,
+    /// The nonce of the newest return the node has acted on.
+    #[prost(uint64, tag = "14")]
+    pub heard: u64,
+    #[prost(bool, tag = "15")]
+    pub hub: bool,
+}
+
+/// A share of a server's connections that a node holds, and what it could use.
+#[derive(Clone, PartialEq, Message)]
+pub struct Held {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+    #[prost(uint64, tag = "3")]
+    pub want: u64,
+}
+
+/// How a node sees a server over its own connections.
+#[derive(Clone, PartialEq, Message)]
+pub struct Sight {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Milliseconds since the server last answered this node.
+    #[prost(uint64, tag = "2")]
+    pub age: u64,
+    #[prost(uint64, tag = "3")]
+    pub line: u64,
+    #[prost(uint64, tag = "4")]
+    pub index: u64,
+}
+
+/// Orders news: the leading hub's term, then its count.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Message)]
+pub struct Mark {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+}
+
+/// The leading hub's return to a beat.
+#[derive(Clone, PartialEq, Message)]
+pub struct BeatReturn {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    #[prost(uint64, tag = "3")]
+    pub nonce: u64,
+    /// The newest news there was when the beat came.
+    #[prost(message, optional, tag = "4")]
+    pub mark: Option<Mark>,
+    #[prost(message, repeated, tag = "5")]
+    pub leads: Vec<Lead>,
+    #[prost(message, repeated, tag = "6")]
+    pub shares: Vec<Share>,
+}
+
+/// A leader grant: counted from when the beat was sent.
+#[derive(Clone, PartialEq, Message)]
+pub struct Lead {
+    #[prost(string, tag = "1")]
+    pub group: String,
+    #[prost(string, tag = "2")]
+    pub server: String,
+    #[prost(uint64, tag = "3")]
+    pub line: u64,
+    #[prost(uint64, tag = "4")]
+    pub span: u64,
+}
+
+/// A share grant: counted from when the beat was sent.
+#[derive(Clone, PartialEq, Message)]
+pub struct Share {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+    #[prost(uint64, tag = "3")]
+    pub span: u64,
+}
+
+/// What goes down the tree: the operator's word and the servers as last told.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    #[prost(message, optional, tag = "1")]
+    pub mark: Option<Mark>,
+    #[prost(message, optional, tag = "2")]
+    pub image: Option<Image>,
+    #[prost(message, repeated, tag = "3")]
+    pub servers: Vec<Server>,
+    #[prost(message, repeated, tag = "4")]
+    pub nodes: Vec<Node>,
+}
+
+/// A server as it told of itself.
+#[derive(Clone, PartialEq, Message)]
+pub struct Server {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub area: String,
+    #[prost(string, tag = "3")]
+    pub addr: String,
+    #[prost(bool, tag = "4")]
+    pub draining: bool,
+    /// Not heard of within the bound.
+    #[prost(bool, tag = "5")]
+    pub gone: bool,
+    /// Coldness in thousandths.
+    #[prost(uint32, tag = "6")]
+    pub cold: u32,
+    #[prost(bool, tag = "7")]
+    pub leads: bool,
+    #[prost(uint64, tag = "8")]
+    pub line: u64,
+}
+
+/// A node as its session tells of it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Node {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub area: String,
+    #[prost(string, tag = "3")]
+    pub peer: String,
+    #[prost(string, tag = "4")]
+    pub http: String,
+    #[prost(string, tag = "5")]
+    pub parent: String,
+    #[prost(uint32, tag = "6")]
+    pub depth: u32,
+}
+
+/// An outer request handed up the tree to the leading hub.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ask {
+    #[prost(string, tag = "1")]
+    pub origin: String,
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+    #[prost(string, tag = "3")]
+    pub method: String,
+    #[prost(string, tag = "4")]
+    pub path: String,
+    #[prost(bytes = "bytes", tag = "5")]
+    pub body: prost::bytes::Bytes,
+}
+
+/// The answer that goes back down to where the request came in.
+#[derive(Clone, PartialEq, Message)]
+pub struct AskReturn {
+    #[prost(string, tag = "1")]
+    pub origin: String,
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+    #[prost(uint32, tag = "3")]
+    pub code: u32,
+    #[prost(uint32, tag = "4")]
+    pub retry: u32,
+    #[prost(bytes = "bytes", tag = "5")]
+    pub body: prost::bytes::Bytes,
+}
+
+/// A parent tells a child how far it is from the leading hub.
+#[derive(Clone, PartialEq, Message)]
+pub struct Root {
+    #[prost(uint32, tag = "1")]
+    pub depth: u32,
+    /// Whether the parent itself has heard from the root lately.
+    #[prost(bool, tag = "2")]
+    pub fed: bool,
+    /// The names on the way up, so that no ring forms.
+    #[prost(string, repeated, tag = "3")]
+    pub path: Vec<String>,
+    #[prost(bool, tag = "4")]
+    pub full: bool,
+}
+
+/// A hub asks to lead.
+#[derive(Clone, PartialEq, Message)]
+pub struct Vote {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub at_term: u64,
+    #[prost(uint64, tag = "3")]
+    pub at_count: u64,
+    #[prost(uint64, tag = "4")]
+    pub born: u64,
+    /// The holder named the asker its successor, so holds do not bind.
+    #[prost(bool, tag = "5")]
+    pub named: bool,
+    /// Only asking whether it would be granted.
+    #[prost(bool, tag = "6")]
+    pub trial: bool,
+    #[prost(uint64, tag = "7")]
+    pub nonce: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct VoteReturn {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    #[prost(uint64, tag = "3")]
+    pub born: u64,
+    #[prost(bool, tag = "4")]
+    pub blank: bool,
+    #[prost(uint64, tag = "5")]
+    pub nonce: u64,
+}
+
+/// The leading hub's pulse, with the image where the other lacks it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Pulse {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+    /// The newest image's term and count.
+    #[prost(uint64, tag = "3")]
+    pub at_term: u64,
+    #[prost(uint64, tag = "4")]
+    pub at_count: u64,
+    #[prost(message, optional, tag = "5")]
+    pub image: Option<Image>,
+    /// The newest count known to lie on a majority of disks.
+    #[prost(uint64, tag = "6")]
+    pub kept: u64,
+    /// Names the hearer as successor.
+    #[prost(bool, tag = "7")]
+    pub named: bool,
+    /// The hearer's disk as the image knows it; zero when it is not known.
+    #[prost(uint64, tag = "8")]
+    pub born: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct PulseReturn {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+    /// The newest image the answering disk has synced.
+    #[prost(uint64, tag = "3")]
+    pub at_term: u64,
+    #[prost(uint64, tag = "4")]
+    pub at_count: u64,
+    #[prost(uint64, tag = "5")]
+    pub born: u64,
+    #[prost(bool, tag = "6")]
+    pub blank: bool,
+    #[prost(bool, tag = "7")]
+    pub taken: bool,
+}
