--- /dev/null
+++ b/wire/src/relay/join.rs
@@ -0,0 +1,128 @@
+use std::{convert::Infallible, net::SocketAddr, rc::Rc};
+
+use futures::{FutureExt, StreamExt, pin_mut, select_biased, stream::FuturesUnordered};
+
+use super::{Parent, Relay};
+use crate::{Body, Broken, Hello, In, Out, Root, link};
+
+/// How many fellow nodes are tried beside the hubs.
+const FELLOWS: usize = 4;
+
+struct Found {
+    hello: Hello,
+    root: Root,
+    inn: In,
+    out: Out,
+}
+
+impl Relay {
+    /// Finds a parent, and another whenever that one is lost, stale or heard one way only.
+    pub async fn join(self: Rc<Self>) -> Result<(), Infallible> {
+        loop {
+            if self.head().rooted() {
+                self.parent.borrow_mut().take();
+                self.env.sleep(self.bounds().pulse()).await;
+                continue;
+            }
+            match self.find().await {
+                Some(found) => self.stay(found).await,
+                None => self.env.sleep(self.bounds().pulse() / 2).await,
+            }
+            if self.parent.borrow_mut().take().is_some() {
+                self.hurry.ring();
+            }
+        }
+    }
+
+    fn places(&self) -> Vec<SocketAddr> {
+        let mut list: Vec<SocketAddr> = self.who.seeds.iter().copied().filter(|a| *a != self.who.peer).collect();
+        if let Some(news) = self.latest() {
+            let mut fellows: Vec<_> = news
+                .nodes
+                .iter()
+                .filter(|n| n.name != self.who.name)
+                .filter_map(|n| Some((n.area != self.who.area, self.env.rand(), n.peer.parse().ok()?)))
+                .filter(|(_, _, a)| !list.contains(a))
+                .collect();
+            fellows.sort();
+            list.extend(fellows.into_iter().take(FELLOWS).map(|f| f.2));
+        }
+        list
+    }
+
+    async fn find(&self) -> Option<Found> {
+        let mut looks: FuturesUnordered<_> = self.places().into_iter().map(|a| self.look(a)).collect();
+        let mut good: Vec<Found> = Vec::new();
+        let rest = self.env.sleep(self.bounds().call()).fuse();
+        pin_mut!(rest);
+        loop {
+            select_biased! {
+                next = looks.next() => match next {
+                    None => break,
+                    Some(None) => {}
+                    Some(Some(f)) => {
+                        let mine = f.hello.area == self.who.area && f.hello.hub && !f.root.full;
+                        good.push(f);
+                        if mine {
+                            break;
+                        }
+                    }
+                },
+                _ = rest => break,
+            }
+        }
+        let key = |f: &Found| (f.root.full, f.hello.area != self.who.area, f.root.depth, self.env.rand());
+        good.into_iter().min_by_key(key)
+    }
+
+    async fn look(&self, addr: SocketAddr) -> Option<Found> {
+        let span = self.bounds().call();
+        let io = self.env.connect(addr, span).await.ok()?;
+        let (mut inn, out) = link::open(&self.env, io);
+        out.send(Body::Hello(self.hello()));
+        let Ok(Ok(Body::Hello(hello))) = self.env.within(span, inn.next()).await else { return None };
+        let Ok(Ok(Body::Root(root))) = self.env.within(span, inn.next()).await else { return None };
+        (root.fed && !root.path.contains(&self.who.name)).then_some(Found { hello, root, inn, out })
+    }
+
+    async fn stay(&self, found: Found) {
+        let Found { hello, root, mut inn, out } = found;
+        self.log(format!("parent is {} at depth {}", hello.name, root.depth));
+        *self.parent.borrow_mut() = Some(Parent { name: hello.name.clone(), out, root });
+        let start = self.env.now();
+        self.send_beat(false);
+        let why = loop {
+            if self.head().rooted() {
+                return;
+            }
+            let body = match self.env.within(self.bounds().pulse(), inn.next()).await {
+                Ok(Ok(b)) => Some(b),
+                Ok(Err(e)) => {
+                    if matches!(e, Broken::Corrupt) {
+                        self.corrupt.set(self.corrupt.get() + 1);
+                    }
+                    break e.to_string();
+                }
+                Err(_) => None,
+            };
+            match body {
+                Some(Body::Root(r)) => {
+                    if r.path.contains(&self.who.name) {
+                        break "a ring".into();
+                    }
+                    if let Some(p) = &mut *self.parent.borrow_mut() {
+                        p.root = r;
+                    }
+                }
+                Some(Body::News(n)) => self.publish(n),
+                Some(b) => self.down(b),
+                None => {}
+            }
+            let last = self.heard_at.get().unwrap_or_default().max(start);
+            if self.env.now() - last > self.stale() {
+                break "stale".into();
+            }
+        };
+        self.log(format!("parent {} lost: {why}", hello.name));
+    }
+}
--- /dev/null
+++ b/wire/src/relay/serve.rs
@@ -0,0 +1,78 @@
+use std::{convert::Infallible, rc::Rc};
+
+use base::seam::{Listener, Stream};
+
+use super::{Child, Relay};
+use crate::{Body, Broken, Hello, link};
+
+impl Relay {
+    /// A handle to itself, for answers that come later.
+    pub(super) fn me(&self) -> Option<Rc<Self>> {
+        self.own.borrow().upgrade()
+    }
+
+    /// Takes links from other processes.
+    pub async fn serve(self: Rc<Self>, sock: Rc<dyn Listener>) -> Result<(), Infallible> {
+        loop {
+            match sock.accept().await {
+                Ok(io) => {
+                    let me = self.clone();
+                    self.env.spawn(async move { me.taken(io).await }).detach();
+                }
+                Err(e) => {
+                    self.log(format!("accept failed: {e}"));
+                    self.env.sleep(self.bounds().pulse()).await;
+                }
+            }
+        }
+    }
+
+    async fn taken(self: Rc<Self>, io: Box<dyn Stream>) {
+        let (mut inn, out) = link::open(&self.env, io);
+        let span = self.bounds().call();
+        let Ok(Ok(Body::Hello(from))) = self.env.within(span, inn.next()).await else { return };
+        out.send(Body::Hello(self.hello()));
+        out.send(Body::Root(self.root()));
+        let id = self.next();
+        let quiet = self.stale() * if from.hub { 60 } else { 4 };
+        let end = loop {
+            let body = match self.env.within(quiet, inn.next()).await {
+                Ok(Ok(b)) => b,
+                Ok(Err(e)) => break e,
+                Err(_) => break Broken::Closed,
+            };
+            match body {
+                Body::Beat(_) | Body::Ask(_) => {
+                    self.adopt(id, &from, &out);
+                    let origin = match &body {
+                        Body::Beat(b) => b.name.clone(),
+                        Body::Ask(a) => a.origin.clone(),
+                        _ => unreachable!("only beats and asks come here"),
+                    };
+                    self.routes.borrow_mut().insert(origin, id);
+                    self.up(body);
+                }
+                other => self.head().other(&from, other, &out),
+            }
+        };
+        if matches!(end, Broken::Corrupt) {
+            self.corrupt.set(self.corrupt.get() + 1);
+            self.log(format!("link from {} closed: {end}", from.name));
+        }
+        if self.children.borrow_mut().remove(&id).is_some() {
+            self.routes.borrow_mut().retain(|_, r| *r != id);
+            self.log(format!("{} left", from.name));
+        }
+    }
+
+    fn adopt(&self, id: u64, from: &Hello, out: &crate::Out) {
+        if self.children.borrow().contains_key(&id) {
+            return;
+        }
+        self.children.borrow_mut().insert(id, Child { name: from.name.clone(), out: out.clone() });
+        if let Some(n) = self.latest() {
+            out.send(Body::News((*n).clone()));
+        }
+        self.log(format!("{} joined", from.name));
+    }
+}
