--- a/kit/src/fleet/mod.rs
+++ b/kit/src/fleet/mod.rs
@@ -174,6 +174,9 @@
             if st.mixed > 0 {
                 findings.push(format!("{}: {} statements met another caller's session", s.name, st.mixed));
             }
+            if st.late > 0 {
+                findings.push(format!("{}: {} statements came after it was drained", s.name, st.late));
+            }
             if st.flooded > 0 {
                 findings.push(format!("{}: {} statements flooded it while cold", s.name, st.flooded));
             }
--- /dev/null
+++ b/kit/src/load/operator.rs
@@ -0,0 +1,284 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{
+    edge::operator::{Change, Doorway, Readback},
+    http::Client,
+    seam::Env,
+};
+use bytes::Bytes;
+use nanoserde::SerJson;
+
+use super::Node;
+
+/// The doorway that operators move from group to group.
+pub const MOVED: &str = "moved";
+
+/// A change an operator sent, and what became of it.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The sequence it has if it took effect.
+    pub sequence: u64,
+    pub group: String,
+    pub sent: Duration,
+    /// When it was acknowledged.
+    pub acked: Option<Duration>,
+    /// It surely never takes effect.
+    pub void: bool,
+}
+
+/// An area that was emptied, from the acknowledgement until the wish to take it back was sent.
+#[derive(Clone, Debug)]
+pub struct Emptied {
+    pub area: String,
+    pub from: Duration,
+    pub until: Option<Duration>,
+}
+
+/// A read over the moved doorway.
+#[derive(Clone, Debug)]
+pub struct Sight {
+    pub node: String,
+    pub group: String,
+    pub start: Duration,
+    pub done: Duration,
+}
+
+/// All that operators saw and did.
+#[derive(Default)]
+pub struct Words {
+    pub sent: RefCell<Vec<Sent>>,
+    pub emptied: RefCell<Vec<Emptied>>,
+    pub sights: RefCell<Vec<Sight>>,
+    pub faults: RefCell<Vec<String>>,
+    /// For each emptied area: from when on no work may reach it.
+    pub closed: Rc<RefCell<BTreeMap<String, Duration>>>,
+    pub acked: Cell<u64>,
+    pub conflicts: Cell<u64>,
+    pub refused: Cell<u64>,
+}
+
+/// An operator, and a witness for each node.
+pub struct Operator {
+    pub env: Env,
+    pub nodes: Vec<Node>,
+    pub hubs: Vec<Node>,
+    pub groups: Vec<(String, Vec<String>)>,
+    pub words: Rc<Words>,
+    /// Whether it also empties areas.
+    pub areas: bool,
+    /// How long an emptied area may still see work.
+    pub empty: Duration,
+}
+
+const SPAN: Duration = Duration::from_secs(3);
+
+/// Sets that must never be taken, whatever else goes on.
+const NONSENSE: [&str; 9] = [
+    "",
+    "{",
+    "[]",
+    "{\"doorways\":[],\"groups\":[],\"colour\":1}",
+    "{\"doorways\":[{\"name\":\"x\",\"group\":\"none\",\"promise\":\"any\"}],\"groups\":[]}",
+    "{\"doorways\":[{\"name\":\"x\",\"group\":\"g\",\"promise\":\"best\"}],\"groups\":[{\"name\":\"g\",\"servers\":[\"s\"]}]}",
+    "{\"doorways\":[],\"groups\":[{\"name\":\"g\",\"servers\":[\"s\",\"s\"],\"cap\":1}]}",
+    "{\"doorways\":[],\"groups\":[],\"limits\":{\"statement_ms\":0,\"idle_ms\":-1}}",
+    "{\"doorways\":[],\"groups\":[],\"doorways\":[]}",
+];
+
+impl Operator {
+    fn any(&self) -> SocketAddr {
+        let all = self.nodes.len() + self.hubs.len();
+        let at = self.env.below(all as u64) as usize;
+        self.nodes.iter().chain(&self.hubs).nth(at).expect("there are nodes").addr
+    }
+
+    async fn ask(&self, addr: SocketAddr, method: &str, path: &str, body: String) -> Option<(u16, Bytes)> {
+        let out = Client::once(&self.env, addr, method, path, &[], body.into(), SPAN).await.ok()?;
+        Some((out.code, out.body))
+    }
+
+    fn fault(&self, text: String) {
+        self.words.faults.borrow_mut().push(text);
+    }
+
+    /// Reads back the set; checks that it is the newest acknowledged.
+    async fn read_back(&self) -> Option<Readback> {
+        let start = self.env.now();
+        let (code, body) = self.ask(self.any(), "GET", "/ops/doorways", String::new()).await?;
+        if code != 200 {
+            return None;
+        }
+        let set: Readback = match base::strict::read(&body) {
+            Ok(s) => s,
+            Err(e) => {
+                self.fault(format!("a read-back can't be read: {e}"));
+                return None;
+            }
+        };
+        let sent = self.words.sent.borrow();
+        let newest = sent.iter().filter(|s| s.acked.is_some_and(|a| a < start)).map(|s| s.sequence).max();
+        if newest.is_some_and(|n| set.sequence < n) {
+            self.fault(format!("read back sequence {} at {start:?}, after {newest:?} was acknowledged", set.sequence));
+        }
+        if let Some(s) = sent.iter().find(|s| s.sequence == set.sequence && s.acked.is_some()) {
+            let group = set.doorways.iter().find(|d| d.name == MOVED).map(|d| d.group.clone());
+            if !s.group.is_empty() && group.as_ref() != Some(&s.group) {
+                self.fault(format!("sequence {} reads back as {group:?}, not {}", s.sequence, s.group));
+            }
+        }
+        Some(set)
+    }
+
+    async fn change(&self, after: u64, group: &str, addr: SocketAddr) -> bool {
+        let put = vec![Doorway { name: MOVED.into(), group: group.into(), promise: "any".into(), fall: true }];
+        let body = Change { after, put, drop: Vec::new(), limits: None }.serialize_json();
+        self.send("PATCH", "/ops/doorways", body, after + 1, group, addr).await
+    }
+
+    async fn send(&self, method: &str, path: &str, body: String, seq: u64, group: &str, addr: SocketAddr) -> bool {
+        let at = {
+            let mut sent = self.words.sent.borrow_mut();
+            sent.push(Sent { sequence: seq, group: group.into(), sent: self.env.now(), acked: None, void: false });
+            sent.len() - 1
+        };
+        let out = self.ask(addr, method, path, body).await;
+        let now = self.env.now();
+        let w = &self.words;
+        let mut sent = w.sent.borrow_mut();
+        match out {
+            Some((200, body)) => {
+                sent[at].acked = Some(now);
+                w.acked.set(w.acked.get() + 1);
+                let told = String::from_utf8_lossy(&body).to_string();
+                if method == "PATCH" && told != format!("{{\"sequence\":{seq}}}") {
+                    drop(sent);
+                    self.fault(format!("a change after {} was acknowledged as {told}", seq - 1));
+                }
+                true
+            }
+            Some((409, _)) => {
+                sent[at].void = true;
+                w.conflicts.set(w.conflicts.get() + 1);
+                false
+            }
+            Some((400..=499 | 503, _)) => {
+                sent[at].void = true;
+                w.refused.set(w.refused.get() + 1);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    fn group(&self) -> String {
+        self.groups[self.env.below(self.groups.len() as u64) as usize].0.clone()
+    }
+
+    async fn race(&self, after: u64) {
+        let (a, b) = (self.group(), self.group());
+        let (one, two) =
+            futures::future::join(self.change(after, &a, self.any()), self.change(after, &b, self.any())).await;
+        if one && two {
+            self.fault(format!("two racing changes after {after} were both acknowledged"));
+        }
+    }
+
+    async fn nonsense(&self) {
+        let text = NONSENSE[self.env.below(NONSENSE.len() as u64) as usize];
+        let method = if self.env.below(2) == 0 { "PUT" } else { "PATCH" };
+        if let Some((code, _)) = self.ask(self.any(), method, "/ops/doorways", text.into()).await {
+            if code < 400 {
+                self.fault(format!("{method} of {text:?} was answered {code}"));
+            }
+        }
+    }
+
+    async fn empty(&self, after: u64) {
+        let mut areas: Vec<String> = self.nodes.iter().map(|n| n.area.clone()).collect();
+        areas.sort();
+        areas.dedup();
+        let area = areas[self.env.below(areas.len() as u64) as usize].clone();
+        // An area word has no sequence of its own to compare; it is told apart by an empty group.
+        let path = format!("/ops/areas/{area}/empty");
+        let mut emptied = false;
+        if let Some((200, _)) = self.ask(self.any(), "POST", &path, String::new()).await {
+            emptied = true;
+            let now = self.env.now();
+            self.words.closed.borrow_mut().insert(area.clone(), now + self.empty);
+            self.words.emptied.borrow_mut().push(Emptied { area: area.clone(), from: now, until: None });
+        }
+        let _ = after;
+        self.env.sleep(Duration::from_millis(6000 + self.env.below(4000))).await;
+        let now = self.env.now();
+        self.words.closed.borrow_mut().remove(&area);
+        if emptied {
+            if let Some(e) = self.words.emptied.borrow_mut().last_mut() {
+                e.until = Some(now);
+            }
+        }
+        let path = format!("/ops/areas/{area}/take-back");
+        for _ in 0..60 {
+            if let Some((200, _)) = self.ask(self.any(), "POST", &path, String::new()).await {
+                return;
+            }
+            self.env.sleep(Duration::from_millis(500)).await;
+        }
+    }
+
+    /// Changes, races, reads back, sends nonsense and empties areas until told to stop.
+    pub async fn work(&self, stop: &Rc<Cell<bool>>) {
+        while !stop.get() {
+            self.env.sleep(Duration::from_millis(200 + self.env.below(1500))).await;
+            let Some(set) = self.read_back().await else { continue };
+            match self.env.below(10) {
+                0..=3 => {
+                    self.change(set.sequence, &self.group(), self.any()).await;
+                }
+                4..=5 => self.race(set.sequence).await,
+                6 => {
+                    // From an older state: it must lose.
+                    if set.sequence > 0 && self.change(set.sequence - 1, &self.group(), self.any()).await {
+                        self.fault(format!("a change after {} was taken at {}", set.sequence - 1, set.sequence));
+                    }
+                }
+                7..=8 => self.nonsense().await,
+                _ if self.areas => self.empty(set.sequence).await,
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads over the moved doorway at one node again and again.
+    pub async fn witness(&self, node: &Node, stop: &Rc<Cell<bool>>) {
+        let mut line: Option<Client> = None;
+        while !stop.get() {
+            self.env.sleep(Duration::from_millis(150 + self.env.below(200))).await;
+            if !line.as_ref().is_some_and(Client::open) {
+                line = Client::connect(&self.env, node.addr, SPAN, 1 << 20).await.ok();
+            }
+            let Some(l) = &mut line else { continue };
+            let start = self.env.now();
+            let path = format!("/db/{MOVED}/read");
+            let body = Bytes::from_static(b"{\"op\":\"get\",\"key\":\"none\"}");
+            let Ok(out) = l.call("POST", &path, &[], body, SPAN).await else {
+                line = None;
+                continue;
+            };
+            if let (200, Some(server)) = (out.code, out.header(base::edge::caller::SERVER)) {
+                let group = self.groups.iter().find(|g| g.1.iter().any(|s| s == server)).map(|g| g.0.clone());
+                self.words.sights.borrow_mut().push(Sight {
+                    node: node.name.clone(),
+                    group: group.unwrap_or_default(),
+                    start,
+                    done: self.env.now(),
+                });
+            }
+        }
+    }
+}
--- a/kit/src/main.rs
+++ b/kit/src/main.rs
@@ -25,6 +25,7 @@
     Server(ServerArgs),
     Platform(PlatformArgs),
     Fleet(FleetArgs),
+    Sim(SimArgs),
 }
 
 #[derive(FromArgs)]
@@ -115,6 +116,22 @@
     json: bool,
 }
 
+#[derive(FromArgs)]
+/// run the same code in simulated time on many seeds, with faults chosen by the seed
+#[argh(subcommand, name = "sim")]
+struct SimArgs {
+    /// seeds as FIRST..LAST (1..20)
+    #[argh(option, default = "\"1..20\".into()")]
+    seeds: String,
+    /// take a guard away, to see that it is needed: wait, read-all-but-one, blank-no-vote, hold, no-resend, fence,
+    /// second, fresh, confirm or veto
+    #[argh(option)]
+    without: Option<String>,
+    /// print the whole log of each seed
+    #[argh(switch)]
+    log: bool,
+}
+
 fn usage(text: String) -> ! {
     eprintln!("{text}");
     exit(64)
@@ -165,12 +182,15 @@
                 cap: a.cap,
                 warm: Duration::from_secs_f64(a.warm.max(0.0)),
                 work: Duration::from_millis(1),
+                closed: Default::default(),
+                drain: Duration::from_secs(7),
             };
             match Server::start(&env, setup).await {
                 Ok(_s) => while boot::signal().await != boot::Call::End {},
                 Err(e) => boot::fail(&e.to_string()),
             }
         }
+        Tool::Sim(a) => sim(&a),
         Tool::Platform(a) => {
             let env = boot::world(None);
             let known = |t: &String| {
@@ -215,3 +235,35 @@
         }
     }
 }
+
+fn sim(a: &SimArgs) {
+    let ends = a.seeds.split_once("..").and_then(|(f, l)| Some((f.parse::<u64>().ok()?, l.parse::<u64>().ok()?)));
+    let Some((first, last)) = ends else { usage(format!("--seeds {:?}: FIRST..LAST", a.seeds)) };
+    let tricks = a.without.as_deref().map(|n| kit::sim::Tricks::without(n).unwrap_or_else(|| usage(format!("--without {n:?}: no such guard"))));
+    let tricks = tricks.unwrap_or_default();
+    let (mut bad, mut during, mut after) = (0, 0.0, 0.0);
+    for seed in first..=last {
+        let out = kit::sim::swarm(seed, tricks);
+        if a.log {
+            print!("{}", kit::sim::drawn(&out.town));
+        }
+        let w = &out.town.words;
+        let words = format!(
+            "sets {} conflicts {} refused {} sights {} emptied {}",
+            w.acked.get(), w.conflicts.get(), w.refused.get(), w.sights.borrow().len(), w.emptied.borrow().len()
+        );
+        println!("seed {seed}: during {:.1} % after {:.1} % trace {:016x} {words}", out.during * 100.0, out.after * 100.0, out.trace);
+        during += out.during;
+        after += out.after;
+        if !out.findings.is_empty() {
+            bad += 1;
+            out.script.iter().for_each(|s| println!("  did {s}"));
+            out.findings.iter().for_each(|f| println!("  FINDING {f}"));
+        }
+    }
+    let n = (last + 1 - first) as f64;
+    println!("{n} seeds, {bad} with findings; answered {:.2} % during, {:.2} % after", during / n * 100.0, after / n * 100.0);
+    if bad > 0 {
+        exit(1);
+    }
+}
--- a/kit/src/server/mod.rs
+++ b/kit/src/server/mod.rs
@@ -37,6 +37,10 @@
     pub warm: Duration,
     /// How long a statement takes.
     pub work: Duration,
+    /// For each emptied area: from when on no work may come (kept by a checker).
+    pub closed: Rc<RefCell<BTreeMap<String, Duration>>>,
+    /// How long after its draining was taken note of work may still come.
+    pub drain: Duration,
 }
 
 /// What a server counted; read by checkers.
@@ -48,6 +52,8 @@
     pub over: u64,
     /// Statements that came while it was colder than its work allowed.
     pub flooded: u64,
+    /// Statements that came later than they may to a drained server or an emptied area.
+    pub late: u64,
     /// Statements of one caller that met another's session values.
     pub mixed: u64,
     /// When the newest statement came.
--- a/kit/src/server/serve.rs
+++ b/kit/src/server/serve.rs
@@ -62,6 +62,7 @@
         pub over: u64,
         pub flooded: u64,
         pub mixed: u64,
+        pub late: u64,
     }
 }
 
@@ -167,6 +168,9 @@
             if self.busy.get() > most {
                 st.flooded += 1;
             }
+            if self.late() && !matches!(path, "/rollback" | backend::RESET) {
+                st.late += 1;
+            }
         }
         self.busy.set(self.busy.get() + 1);
         self.env.sleep(self.setup.work).await;
@@ -179,6 +183,14 @@
         Some(out)
     }
 
+    /// Whether no work may come any more.
+    fn late(&self) -> bool {
+        let now = self.env.now();
+        let closed = self.setup.closed.borrow().get(&self.setup.area).is_some_and(|t| now > *t);
+        let drained = self.draining.get() && self.drain_told.get().is_some_and(|t| now > t + self.setup.drain);
+        closed || drained
+    }
+
     async fn run(self: &Rc<Self>, own: &Rc<Own>, path: &str, ask: &Ask) -> Return {
         if path == backend::RESET {
             own.trans.borrow_mut().take();
@@ -278,12 +290,14 @@
                 return text(409, "{}".into());
             }
         }
-        let more = self.bell.until(|| (self.log.borrow().len() as u64 > after).then_some(()));
+        // Only what is on this disk is handed out: a leader that restarts must not have less than its followers.
+        let more = self.bell.until(|| (self.durable.get() > after).then_some(()));
         let _ = self.env.within(Duration::from_millis(200), more).await;
         if self.line.get() != line || !self.leads.get() {
             return text(421, "{}".into());
         }
-        let entries = self.log.borrow().iter().skip(after as usize).take(500).cloned().collect();
+        let room = self.durable.get().saturating_sub(after).min(500) as usize;
+        let entries = self.log.borrow().iter().skip(after as usize).take(room).cloned().collect();
         text(200, Batch { line, entries }.serialize_json())
     }
 
@@ -328,6 +342,7 @@
             over: s.over,
             flooded: s.flooded,
             mixed: s.mixed,
+            late: s.late,
         };
         text(200, row.serialize_json())
     }
--- /dev/null
+++ b/kit/src/sim/core.rs
@@ -0,0 +1,361 @@
+use std::{
+    cell::{Cell, RefCell},
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    sync::{Arc, mpsc},
+    task::{Context, Poll, Wake, Waker},
+    time::Duration,
+};
+
+use base::{
+    seam::{Env, Part},
+    words::step,
+};
+
+use super::{disk::Files, net::Net, world::Place};
+
+type Task = Pin<Box<dyn Future<Output = ()>>>;
+
+/// One log line of a simulated process.
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub at: Duration,
+    pub who: String,
+    pub part: Part,
+    pub text: String,
+}
+
+struct Call {
+    id: u64,
+    send: mpsc::Sender<u64>,
+}
+
+impl Wake for Call {
+    fn wake(self: Arc<Self>) {
+        let _ = self.send.send(self.id);
+    }
+}
+
+/// What a simulated process stands on.
+pub(super) struct Host {
+    pub name: String,
+    pub area: String,
+    pub boot: u64,
+    pub up: bool,
+    pub frozen: bool,
+    /// How fast its clock runs, in millionths.
+    pub rate: u64,
+    pub files: Rc<Files>,
+}
+
+struct Cell0 {
+    host: usize,
+    boot: u64,
+    task: Option<Task>,
+    waker: Waker,
+    queued: bool,
+}
+
+/// What happens at a time.
+pub(super) enum Due {
+    Wake(Waker),
+    Act(Box<dyn FnOnce(&Rc<Sim>)>),
+}
+
+struct Timer(Duration, u64, Due);
+
+impl PartialEq for Timer {
+    fn eq(&self, o: &Self) -> bool {
+        (self.0, self.1) == (o.0, o.1)
+    }
+}
+impl Eq for Timer {}
+impl PartialOrd for Timer {
+    fn partial_cmp(&self, o: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Timer {
+    fn cmp(&self, o: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(o.0, o.1))
+    }
+}
+
+/// A simulated world of many processes.
+pub struct Sim {
+    clock: Cell<Duration>,
+    seed: Cell<u64>,
+    tasks: RefCell<BTreeMap<u64, Cell0>>,
+    ready: RefCell<Vec<u64>>,
+    parked: RefCell<BTreeSet<u64>>,
+    timers: RefCell<BinaryHeap<Reverse<Timer>>>,
+    count: Cell<u64>,
+    send: mpsc::Sender<u64>,
+    recv: mpsc::Receiver<u64>,
+    pub(super) hosts: RefCell<Vec<Host>>,
+    pub(super) net: Net,
+    pub(super) lines: RefCell<Vec<Line>>,
+    /// Every poll folded into one number: two runs of a seed must give the same.
+    trace: Cell<u64>,
+    polls: Cell<u64>,
+}
+
+impl Sim {
+    /// An empty world.
+    pub fn new(seed: u64) -> Rc<Self> {
+        let (send, recv) = mpsc::channel();
+        Rc::new(Self {
+            clock: Cell::new(Duration::from_secs(1)),
+            seed: Cell::new(seed.wrapping_mul(0x9e37_79b9).wrapping_add(17)),
+            tasks: RefCell::default(),
+            ready: RefCell::default(),
+            parked: RefCell::default(),
+            timers: RefCell::default(),
+            count: Cell::new(0),
+            send,
+            recv,
+            hosts: RefCell::default(),
+            net: Net::default(),
+            lines: RefCell::default(),
+            trace: Cell::new(0),
+            polls: Cell::new(0),
+        })
+    }
+
+    /// The world's own time.
+    pub fn now(&self) -> Duration {
+        self.clock.get()
+    }
+
+    /// A random number from the seed.
+    pub fn rand(&self) -> u64 {
+        step(&self.seed)
+    }
+
+    /// A random number below `top`.
+    pub fn below(&self, top: u64) -> u64 {
+        self.rand() % top.max(1)
+    }
+
+    /// A number that only an equal run has, and how many polls it took.
+    pub fn trace(&self) -> (u64, u64) {
+        (self.trace.get(), self.polls.get())
+    }
+
+    /// Adds a process's host; it is up, with an empty disk if it has one.
+    pub fn host(self: &Rc<Self>, name: &str, area: &str) -> usize {
+        let mut all = self.hosts.borrow_mut();
+        all.push(Host {
+            name: name.into(),
+            area: area.into(),
+            boot: 1,
+            up: true,
+            frozen: false,
+            rate: 1_000_000,
+            files: Rc::default(),
+        });
+        all.len() - 1
+    }
+
+    /// The environment of a host's present run.
+    pub fn env(self: &Rc<Self>, host: usize) -> Env {
+        let boot = self.hosts.borrow()[host].boot;
+        Env::new(Rc::new(Place { sim: self.clone(), host, boot }))
+    }
+
+    pub(super) fn spawn(&self, host: usize, boot: u64, task: Task) {
+        {
+            let hosts = self.hosts.borrow();
+            if !hosts[host].up || hosts[host].boot != boot {
+                return;
+            }
+        }
+        let id = self.next();
+        let waker = Waker::from(Arc::new(Call { id, send: self.send.clone() }));
+        self.tasks.borrow_mut().insert(id, Cell0 { host, boot, task: Some(task), waker, queued: true });
+        self.ready.borrow_mut().push(id);
+    }
+
+    fn next(&self) -> u64 {
+        self.count.set(self.count.get() + 1);
+        self.count.get()
+    }
+
+    pub(super) fn at(&self, when: Duration, due: Due) {
+        let id = self.next();
+        self.timers.borrow_mut().push(Reverse(Timer(when.max(self.now()), id, due)));
+    }
+
+    /// Does something at a later time.
+    pub fn later(&self, span: Duration, act: impl FnOnce(&Rc<Sim>) + 'static) {
+        self.at(self.now() + span, Due::Act(Box::new(act)));
+    }
+
+    fn drain(&self) {
+        while let Ok(id) = self.recv.try_recv() {
+            if let Some(t) = self.tasks.borrow_mut().get_mut(&id) {
+                if !t.queued {
+                    t.queued = true;
+                    self.ready.borrow_mut().push(id);
+                }
+            }
+        }
+    }
+
+    fn poll(&self, id: u64) {
+        let (mut task, waker, host) = {
+            let mut tasks = self.tasks.borrow_mut();
+            let Some(t) = tasks.get_mut(&id) else { return };
+            let hosts = self.hosts.borrow();
+            let h = &hosts[t.host];
+            if h.frozen && h.up && h.boot == t.boot {
+                self.parked.borrow_mut().insert(id);
+                return;
+            }
+            t.queued = false;
+            let Some(task) = t.task.take() else { return };
+            (task, t.waker.clone(), t.host)
+        };
+        self.polls.set(self.polls.get() + 1);
+        let mix = self.trace.get() ^ id ^ (host as u64) << 40 ^ self.now().as_nanos() as u64;
+        self.trace.set(mix.wrapping_mul(0x100_0000_01b3).rotate_left(23));
+        let out = task.as_mut().poll(&mut Context::from_waker(&waker));
+        match out {
+            Poll::Ready(()) => {
+                drop(task);
+                self.tasks.borrow_mut().remove(&id);
+            }
+            Poll::Pending => {
+                if let Some(t) = self.tasks.borrow_mut().get_mut(&id) {
+                    t.task = Some(task);
+                }
+            }
+        }
+    }
+
+    /// Runs until a time, or until `stop` says so.
+    pub fn run(self: &Rc<Self>, until: Duration, stop: &dyn Fn() -> bool) {
+        loop {
+            self.drain();
+            let next = {
+                let mut ready = self.ready.borrow_mut();
+                let n = ready.len() as u64;
+                if n == 0 { None } else { Some(ready.swap_remove(self.below(n) as usize)) }
+            };
+            if let Some(id) = next {
+                self.poll(id);
+                continue;
+            }
+            if stop() {
+                return;
+            }
+            let due = self.timers.borrow().peek().map(|t| t.0.0);
+            match due {
+                Some(t) if t <= until => {
+                    let Some(Reverse(Timer(at, _, due))) = self.timers.borrow_mut().pop() else { continue };
+                    self.clock.set(self.clock.get().max(at));
+                    match due {
+                        Due::Wake(w) => w.wake(),
+                        Due::Act(f) => f(self),
+                    }
+                }
+                _ => {
+                    self.clock.set(self.clock.get().max(until));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Runs for a span.
+    pub fn pass(self: &Rc<Self>, span: Duration) {
+        self.run(self.now() + span, &|| false);
+    }
+
+    /// Ends a process. A killed one's peers hear of it; one that lost power is just silent.
+    pub fn kill(self: &Rc<Self>, host: usize, silent: bool) {
+        let boot = {
+            let mut hosts = self.hosts.borrow_mut();
+            let h = &mut hosts[host];
+            if !h.up {
+                return;
+            }
+            h.up = false;
+            h.frozen = false;
+            h.boot += 1;
+            h.boot - 1
+        };
+        self.net.down(self, host, silent);
+        let gone: Vec<Cell0> = {
+            let mut tasks = self.tasks.borrow_mut();
+            let ids: Vec<u64> = tasks.iter().filter(|(_, t)| t.host == host && t.boot == boot).map(|(i, _)| *i).collect();
+            ids.iter().filter_map(|i| tasks.remove(i)).collect()
+        };
+        drop(gone);
+        self.note(host, "is down");
+    }
+
+    /// Lets a process be started again; gives its new environment.
+    pub fn boot(self: &Rc<Self>, host: usize) -> Env {
+        self.hosts.borrow_mut()[host].up = true;
+        self.net.up(self, host);
+        self.note(host, "is up");
+        self.env(host)
+    }
+
+    /// Whether a host is up.
+    pub fn is_up(&self, host: usize) -> bool {
+        self.hosts.borrow()[host].up
+    }
+
+    /// Stops a process's tasks where they are.
+    pub fn freeze(&self, host: usize) {
+        self.hosts.borrow_mut()[host].frozen = true;
+        self.note(host, "froze");
+    }
+
+    /// Lets them go on.
+    pub fn thaw(&self, host: usize) {
+        if !std::mem::replace(&mut self.hosts.borrow_mut()[host].frozen, false) {
+            return;
+        }
+        self.note(host, "thawed");
+        let all = std::mem::take(&mut *self.parked.borrow_mut());
+        self.ready.borrow_mut().extend(all);
+    }
+
+    /// Sets how fast a host's clock runs, in millionths.
+    pub fn drift(&self, host: usize, rate: u64) {
+        self.hosts.borrow_mut()[host].rate = rate;
+    }
+
+    /// The disk of a host.
+    pub(super) fn files(&self, host: usize) -> Rc<Files> {
+        self.hosts.borrow()[host].files.clone()
+    }
+
+    pub(super) fn note(&self, host: usize, text: &str) {
+        let who = self.hosts.borrow()[host].name.clone();
+        self.lines.borrow_mut().push(Line { at: self.now(), who, part: Part::Kit, text: text.into() });
+    }
+
+    /// Adds a line of the simulation's own.
+    pub fn say(&self, text: &str) {
+        self.lines.borrow_mut().push(Line { at: self.now(), who: "-".into(), part: Part::Kit, text: text.into() });
+    }
+
+    /// All log lines so far.
+    pub fn log(&self) -> Vec<Line> {
+        self.lines.borrow().clone()
+    }
+}
+
+impl Drop for Sim {
+    fn drop(&mut self) {
+        let all = std::mem::take(&mut *self.tasks.borrow_mut());
+        drop(all);
+    }
+}
--- a/kit/src/sim/mod.rs
+++ b/kit/src/sim/mod.rs
@@ -1,1 +1,14 @@
-//! The simulation.
+//! The simulation: the real tasks on one seeded executor, with virtual time, network and disks.
+
+mod core;
+mod disk;
+mod net;
+mod swarm;
+mod timeline;
+mod town;
+mod world;
+
+pub use core::{Line, Sim};
+pub use swarm::{Outcome, swarm};
+pub use timeline::{Scene, drawn, play};
+pub use town::{Town, Tricks};
--- /dev/null
+++ b/kit/src/sim/net.rs
@@ -0,0 +1,316 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::{Rc, Weak},
+    task::{Context, Poll, Waker},
+    time::Duration,
+};
+
+use base::seam::{Listener, Local, Stream};
+use hyper::rt::{Read, ReadBufCursor, Write};
+
+use super::{
+    core::{Due, Sim},
+    world::rest,
+};
+
+/// One direction of a connection.
+struct Pipe {
+    from: usize,
+    to: usize,
+    buf: RefCell<VecDeque<u8>>,
+    /// Sent while the way was cut; delivered when it heals.
+    held: RefCell<Vec<Chunk>>,
+    last: Cell<Duration>,
+    ended: Cell<bool>,
+    reset: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
+}
+
+enum Chunk {
+    Data(Vec<u8>),
+    End,
+    Reset,
+}
+
+impl Pipe {
+    fn new(from: usize, to: usize) -> Rc<Self> {
+        Rc::new(Self {
+            from,
+            to,
+            buf: RefCell::default(),
+            held: RefCell::default(),
+            last: Cell::default(),
+            ended: Cell::default(),
+            reset: Cell::default(),
+            reader: RefCell::default(),
+        })
+    }
+
+    fn take(&self, chunk: Chunk) {
+        match chunk {
+            Chunk::Data(d) => self.buf.borrow_mut().extend(d),
+            Chunk::End => self.ended.set(true),
+            Chunk::Reset => self.reset.set(true),
+        }
+        if let Some(w) = self.reader.borrow_mut().take() {
+            w.wake();
+        }
+    }
+}
+
+struct Bound {
+    host: usize,
+    boot: u64,
+    addr: SocketAddr,
+    queue: RefCell<VecDeque<Box<dyn Stream>>>,
+    waker: RefCell<Option<Waker>>,
+}
+
+/// The network between hosts: ways that may be slow or cut in one direction.
+#[derive(Default)]
+pub(super) struct Net {
+    bound: RefCell<BTreeMap<SocketAddr, Rc<Bound>>>,
+    pipes: RefCell<Vec<Weak<Pipe>>>,
+    cuts: RefCell<BTreeSet<(String, String)>>,
+    slow: RefCell<BTreeMap<(String, String), Duration>>,
+    /// Addresses of hosts without power.
+    dark: RefCell<BTreeMap<SocketAddr, usize>>,
+}
+
+impl Net {
+    fn ends(sim: &Sim, host: usize) -> (String, String) {
+        let hosts = sim.hosts.borrow();
+        (hosts[host].name.clone(), hosts[host].area.clone())
+    }
+
+    fn open(&self, sim: &Sim, from: usize, to: usize) -> bool {
+        let cuts = self.cuts.borrow();
+        if cuts.is_empty() {
+            return true;
+        }
+        let (f, t) = (Self::ends(sim, from), Self::ends(sim, to));
+        let hit = |a: &String, b: &String| cuts.contains(&(a.clone(), b.clone()));
+        !(hit(&f.0, &t.0) || hit(&f.1, &t.1) || hit(&f.0, &t.1) || hit(&f.1, &t.0))
+    }
+
+    fn delay(&self, sim: &Sim, from: usize, to: usize) -> Duration {
+        let (f, t) = (Self::ends(sim, from), Self::ends(sim, to));
+        let base = if f.1 == t.1 { 150 } else { 1200 };
+        let extra = self.slow.borrow().get(&(f.1, t.1)).copied().unwrap_or_default();
+        Duration::from_micros(base + sim.below(base)) + extra
+    }
+
+    /// Cuts the way from one name (of a process or an area) to another, one direction only.
+    pub fn cut(&self, from: &str, to: &str) {
+        self.cuts.borrow_mut().insert((from.into(), to.into()));
+    }
+
+    /// Makes the way from one area to another slow.
+    pub fn slow(&self, from: &str, to: &str, by: Duration) {
+        self.slow.borrow_mut().insert((from.into(), to.into()), by);
+    }
+
+    /// Heals one way; what was held back comes through.
+    pub fn heal(&self, sim: &Rc<Sim>, from: &str, to: &str) {
+        self.cuts.borrow_mut().remove(&(from.into(), to.into()));
+        self.release(sim);
+    }
+
+    /// Heals everything.
+    pub fn heal_all(&self, sim: &Rc<Sim>) {
+        self.cuts.borrow_mut().clear();
+        self.slow.borrow_mut().clear();
+        self.release(sim);
+    }
+
+    fn release(&self, sim: &Rc<Sim>) {
+        let pipes: Vec<Rc<Pipe>> = self.pipes.borrow().iter().filter_map(Weak::upgrade).collect();
+        for p in pipes {
+            if !p.held.borrow().is_empty() && sim.is_up(p.from) && self.open(sim, p.from, p.to) {
+                // Lost segments are sent again some time after.
+                let wait = Duration::from_millis(50 + sim.below(400));
+                for c in std::mem::take(&mut *p.held.borrow_mut()) {
+                    self.deliver(sim, &p, c, wait);
+                }
+            }
+        }
+    }
+
+    fn deliver(&self, sim: &Rc<Sim>, p: &Rc<Pipe>, chunk: Chunk, extra: Duration) {
+        let at = (sim.now() + self.delay(sim, p.from, p.to) + extra).max(p.last.get());
+        p.last.set(at);
+        let p = p.clone();
+        sim.at(at, Due::Act(Box::new(move |_| p.take(chunk))));
+    }
+
+    fn send(&self, sim: &Rc<Sim>, p: &Rc<Pipe>, chunk: Chunk) {
+        if !self.open(sim, p.from, p.to) || !p.held.borrow().is_empty() {
+            p.held.borrow_mut().push(chunk);
+        } else {
+            self.deliver(sim, p, chunk, Duration::ZERO);
+        }
+    }
+
+    pub fn listen(&self, host: usize, boot: u64, addr: SocketAddr) -> io::Result<Rc<dyn Listener>> {
+        if self.bound.borrow().contains_key(&addr) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let b = Rc::new(Bound { host, boot, addr, queue: RefCell::default(), waker: RefCell::default() });
+        self.bound.borrow_mut().insert(addr, b.clone());
+        Ok(Rc::new(Door(b)))
+    }
+
+    pub async fn connect(&self, sim: &Rc<Sim>, host: usize, addr: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        loop {
+            let bound = self.bound.borrow().get(&addr).cloned();
+            // Where nobody listens, the address's host is not known: as if it were near.
+            let to = bound.as_ref().map_or(host, |b| b.host);
+            if !self.open(sim, host, to) {
+                rest(sim, Duration::from_millis(250)).await;
+                continue;
+            }
+            rest(sim, self.delay(sim, host, to)).await;
+            let live = bound.filter(|b| {
+                let hosts = sim.hosts.borrow();
+                hosts[b.host].up && hosts[b.host].boot == b.boot
+            });
+            let Some(b) = live else {
+                if self.silent(addr) {
+                    rest(sim, Duration::from_secs(1)).await;
+                    continue;
+                }
+                rest(sim, self.delay(sim, to, host)).await;
+                return Err(io::ErrorKind::ConnectionRefused.into());
+            };
+            if !self.open(sim, to, host) {
+                rest(sim, Duration::from_millis(250)).await;
+                continue;
+            }
+            let (there, back) = (Pipe::new(host, b.host), Pipe::new(b.host, host));
+            {
+                let mut pipes = self.pipes.borrow_mut();
+                pipes.retain(|p| p.strong_count() > 0);
+                pipes.push(Rc::downgrade(&there));
+                pipes.push(Rc::downgrade(&back));
+            }
+            let near = End { sim: sim.clone(), out: there.clone(), inn: back.clone() };
+            let far = End { sim: sim.clone(), out: back, inn: there };
+            b.queue.borrow_mut().push_back(Box::new(far));
+            if let Some(w) = b.waker.borrow_mut().take() {
+                w.wake();
+            }
+            rest(sim, self.delay(sim, to, host)).await;
+            return Ok(Box::new(near));
+        }
+    }
+
+    /// Whether the address belongs to a host that lost power: it does not even refuse.
+    fn silent(&self, addr: SocketAddr) -> bool {
+        self.dark.borrow().contains_key(&addr)
+    }
+
+    /// A host goes down; its peers hear of it unless it lost power.
+    pub fn down(&self, sim: &Rc<Sim>, host: usize, silent: bool) {
+        let mine: Vec<SocketAddr> =
+            self.bound.borrow().iter().filter(|(_, b)| b.host == host).map(|(a, _)| *a).collect();
+        for a in mine {
+            self.bound.borrow_mut().remove(&a);
+            if silent {
+                self.dark.borrow_mut().insert(a, host);
+            }
+        }
+        let pipes: Vec<Rc<Pipe>> = self.pipes.borrow().iter().filter_map(Weak::upgrade).collect();
+        for p in pipes.iter().filter(|p| p.from == host) {
+            p.held.borrow_mut().clear();
+            if silent {
+                // Not even an end is sent until the host is up again and refuses.
+                p.held.borrow_mut().push(Chunk::Reset);
+            } else {
+                self.send(sim, p, Chunk::Reset);
+            }
+        }
+    }
+
+    /// A host is up again: it resets what it no longer knows.
+    pub fn up(&self, sim: &Rc<Sim>, host: usize) {
+        self.dark.borrow_mut().retain(|_, h| *h != host);
+        self.release(sim);
+    }
+}
+
+struct Door(Rc<Bound>);
+
+impl Listener for Door {
+    fn accept(&self) -> Local<io::Result<Box<dyn Stream>>> {
+        let b = self.0.clone();
+        Box::pin(std::future::poll_fn(move |cx| match b.queue.borrow_mut().pop_front() {
+            Some(s) => Poll::Ready(Ok(s)),
+            None => {
+                *b.waker.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        }))
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.0.addr
+    }
+}
+
+struct End {
+    sim: Rc<Sim>,
+    out: Rc<Pipe>,
+    inn: Rc<Pipe>,
+}
+
+impl Read for End {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, mut buf: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        let p = &self.inn;
+        if p.reset.get() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let mut data = p.buf.borrow_mut();
+        if data.is_empty() {
+            if p.ended.get() {
+                return Poll::Ready(Ok(()));
+            }
+            *p.reader.borrow_mut() = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let n = data.len().min(buf.remaining());
+        let part: Vec<u8> = data.drain(..n).collect();
+        buf.put_slice(&part);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for End {
+    fn poll_write(self: Pin<&mut Self>, _cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.inn.reset.get() {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        self.sim.net.send(&self.sim, &self.out, Chunk::Data(buf.to_vec()));
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Drop for End {
+    fn drop(&mut self) {
+        // A killed host's pipes were dealt with when it went down.
+        if self.sim.is_up(self.out.from) {
+            self.sim.net.send(&self.sim, &self.out, Chunk::End);
+        }
+    }
+}
--- /dev/null
+++ b/kit/src/sim/swarm.rs
@@ -0,0 +1,202 @@
+//! Seeded campaigns: a swarm of faults chosen by the seed, one last blow, and a look whether all is whole again.
+
+use std::{rc::Rc, time::Duration};
+
+use super::{Town, Tricks, timeline};
+
+/// What one seed came to.
+pub struct Outcome {
+    pub town: Rc<Town>,
+    pub findings: Vec<String>,
+    /// Share of work answered as asked while faults were on.
+    pub during: f64,
+    /// The same after the last blow was mended.
+    pub after: f64,
+    pub trace: u64,
+    /// What was done, in order.
+    pub script: Vec<String>,
+}
+
+const KINDS: [&str; 17] = [
+    "kill-server", "kill-leader", "dark-leader", "kill-hub", "kill-spoke", "restart-hub", "restart-spoke", "freeze",
+    "wipe-hub", "rot-hub", "full-hub", "cut-areas", "cut-one-way", "dark-area", "stall", "mute", "drain",
+];
+
+/// Runs one seed.
+pub fn swarm(seed: u64, tricks: Tricks) -> Outcome {
+    let town = Town::new(seed, 6, 40, Duration::from_secs(1), tricks);
+    let sim = town.sim.clone();
+    let mut script = Vec::new();
+    let mut findings = Vec::new();
+    if let Err(e) = town.settle(Duration::from_secs(30)) {
+        findings.push(format!("the town did not come up: {e}"));
+    }
+    // Swarm: each seed draws its own few kinds, so that runs differ in more than order.
+    let kinds: Vec<&str> = KINDS.into_iter().filter(|_| sim.below(3) == 0).collect();
+    if sim.below(3) == 0 {
+        for n in town.names().into_iter().filter(|n| n != "desk") {
+            town.drift(&n, 980_000 + sim.below(40_000));
+        }
+    }
+    let span = Duration::from_secs(30);
+    let start = sim.now();
+    town.drive(30, 60.0, span);
+    town.operate(sim.below(2) == 0, span);
+    for _ in 0..(2 + sim.below(6)) {
+        sim.pass(Duration::from_millis(500 + sim.below(5000)));
+        if sim.now() > start + span || kinds.is_empty() {
+            break;
+        }
+        let kind = kinds[sim.below(kinds.len() as u64) as usize];
+        let text = harm(&town, kind);
+        script.push(format!("{:.1} {kind} {text}", (sim.now() - start).as_secs_f64()));
+    }
+    sim.run(start + span, &|| false);
+    script.push(format!("{:.1} last blow", (sim.now() - start).as_secs_f64()));
+    for n in town.names().into_iter().filter(|n| n != "desk" && n != "platform") {
+        if sim.below(2) == 0 {
+            town.dark(&n);
+        } else {
+            town.kill(&n);
+        }
+    }
+    sim.pass(Duration::from_secs(1 + sim.below(3)));
+    town.mend();
+    sim.pass(Duration::from_secs(12));
+    let from = sim.now();
+    town.drive(30, 60.0, Duration::from_secs(5));
+    sim.pass(Duration::from_secs(12));
+    findings.extend(town.findings());
+    let events = town.history.events.borrow();
+    let share = |late: bool| {
+        let list: Vec<_> = events
+            .iter()
+            .filter(|e| (e.meant >= from) == late && e.end != crate::load::End::Left)
+            .map(|e| e.end == crate::load::End::Good)
+            .collect();
+        list.iter().filter(|g| **g).count() as f64 / list.len().max(1) as f64
+    };
+    let (during, after) = (share(false), share(true));
+    drop(events);
+    if after < 0.95 {
+        findings.push(format!("not whole after the last blow: {:.1} % answered", after * 100.0));
+    }
+    let trace = sim.trace().0;
+    Outcome { town, findings, during, after, trace, script }
+}
+
+fn pick<'a>(town: &Town, all: &'a [String]) -> &'a str {
+    &all[town.sim.below(all.len() as u64) as usize]
+}
+
+fn harm(town: &Rc<Town>, kind: &str) -> String {
+    let sim = town.sim.clone();
+    let hubs: Vec<String> = town.layout.hubs.iter().map(|h| h.name.clone()).collect();
+    let spokes: Vec<String> = town.layout.spokes.iter().map(|h| h.name.clone()).collect();
+    let servers: Vec<String> = town.layout.servers.iter().map(|h| h.name.clone()).collect();
+    let areas = town.layout.areas.clone();
+    let group = format!("g{}", 1 + sim.below(3));
+    let rest = Duration::from_millis(200 + sim.below(6000));
+    let later = |name: &str, word: &'static str| {
+        let (t, n) = (Rc::downgrade(town), name.to_string());
+        sim.later(rest, move |_| {
+            if let Some(t) = t.upgrade() {
+                timeline::act(&t, &n, word);
+            }
+        });
+    };
+    match kind {
+        "kill-server" | "kill-hub" | "kill-spoke" | "kill-leader" | "dark-leader" => {
+            let name = match kind {
+                "kill-server" => pick(town, &servers).to_string(),
+                "kill-hub" => pick(town, &hubs).to_string(),
+                "kill-spoke" => pick(town, &spokes).to_string(),
+                _ => town.leader(&group).unwrap_or_default(),
+            };
+            if name.is_empty() {
+                return "nobody".into();
+            }
+            if kind == "dark-leader" { town.dark(&name) } else { town.kill(&name) }
+            later(&name, "start");
+            name
+        }
+        "restart-hub" | "restart-spoke" => {
+            let name = pick(town, if kind == "restart-hub" { &hubs } else { &spokes }).to_string();
+            if town.up(&name) {
+                town.leave(&name);
+            }
+            let (t, n) = (Rc::downgrade(town), name.clone());
+            sim.later(Duration::from_secs(6), move |_| {
+                if let Some(t) = t.upgrade() {
+                    t.start(&n);
+                }
+            });
+            name
+        }
+        "freeze" => {
+            let all = [hubs, spokes, servers].concat();
+            let name = pick(town, &all).to_string();
+            if town.up(&name) {
+                town.freeze(&name);
+            }
+            later(&name, "thaw");
+            name
+        }
+        "wipe-hub" | "rot-hub" => {
+            // One lost disk at a time is what the three can bear.
+            let name = hubs[0].clone();
+            town.kill(&name);
+            if kind == "wipe-hub" { town.wipe(&name) } else { town.rot(&name, "slot") }
+            later(&name, "start");
+            name
+        }
+        "full-hub" => {
+            let name = pick(town, &hubs).to_string();
+            town.fill(&name, true);
+            later(&name, "room");
+            later(&name, "start");
+            name
+        }
+        "cut-areas" | "cut-one-way" => {
+            let (one, other) = (pick(town, &areas).to_string(), pick(town, &areas).to_string());
+            if one == other {
+                return "nothing".into();
+            }
+            town.cut(&one, &other);
+            if kind == "cut-areas" {
+                town.cut(&other, &one);
+            }
+            let (t, a, b) = (Rc::downgrade(town), one.clone(), other.clone());
+            sim.later(rest, move |_| {
+                if let Some(t) = t.upgrade() {
+                    t.heal(&a, &b);
+                    t.heal(&b, &a);
+                }
+            });
+            format!("{one} {other}")
+        }
+        "dark-area" => {
+            let name = pick(town, &areas).to_string();
+            timeline::act(town, &name, "dark");
+            later(&name, "start");
+            name
+        }
+        "stall" => {
+            let name = pick(town, &servers).to_string();
+            timeline::act(town, &name, "stall");
+            later(&name, "flow");
+            name
+        }
+        "mute" => {
+            let name = town.leader(&group).unwrap_or_default();
+            timeline::act(town, &name, "mute");
+            name
+        }
+        _ => {
+            let name = pick(town, &servers).to_string();
+            timeline::act(town, &name, "drain");
+            later(&name, "drained");
+            name
+        }
+    }
+}
--- /dev/null
+++ b/kit/src/sim/town.rs
@@ -0,0 +1,493 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{
+    bell::Bell,
+    settings::{self, PolicySettings},
+};
+
+use super::core::Sim;
+use crate::{
+    check,
+    fleet::{Layout, Machine},
+    check_words,
+    load::{self, DOORS, History, Node, Operator, Plan, Report, Words},
+    platform::{Known, Platform},
+    server::{Entry, Server, Setup},
+};
+
+/// Guards taken away for a run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tricks {
+    pub spoke: spoke::Tricks,
+    pub hub: hub::Tricks,
+}
+
+impl Tricks {
+    /// The names of all guards that can be taken away.
+    pub const NAMES: [&str; 10] = [
+        "wait", "read-all-but-one", "blank-no-vote", "hold", "no-resend", "fence", "second", "fresh", "confirm", "veto",
+    ];
+
+    /// A run without one guard.
+    pub fn without(name: &str) -> Option<Self> {
+        let mut t = Self::default();
+        let off = match name {
+            "wait" => &mut t.hub.no_wait,
+            "read-all-but-one" => &mut t.hub.read_one,
+            "blank-no-vote" => &mut t.hub.blank_votes,
+            "hold" => &mut t.hub.no_hold,
+            "no-resend" => &mut t.spoke.resend,
+            "fence" => &mut t.spoke.no_fence,
+            "second" => &mut t.spoke.no_second,
+            "fresh" => &mut t.spoke.no_fresh,
+            "confirm" => &mut t.spoke.no_confirm,
+            "veto" => &mut t.spoke.no_veto,
+            _ => return None,
+        };
+        *off = true;
+        Some(t)
+    }
+}
+
+/// What a process of the town is told by the platform.
+#[derive(Default)]
+struct Told {
+    leave: Cell<bool>,
+    left: Cell<bool>,
+    policy: RefCell<Option<PolicySettings>>,
+    bell: Bell,
+}
+
+#[derive(Clone)]
+enum What {
+    Hub(Machine),
+    Spoke(Machine),
+    Server(Setup),
+    Platform,
+    Desk,
+}
+
+struct Proc {
+    host: usize,
+    what: What,
+    told: Rc<Told>,
+}
+
+/// A whole deployment in a simulated world.
+pub struct Town {
+    pub sim: Rc<Sim>,
+    pub layout: Layout,
+    pub history: Rc<History>,
+    pub words: Rc<Words>,
+    pub tricks: Tricks,
+    procs: RefCell<BTreeMap<String, Proc>>,
+    pub servers: Rc<RefCell<BTreeMap<String, Rc<Server>>>>,
+    pub platform: Rc<RefCell<Option<Rc<Platform>>>>,
+    pub policy: RefCell<PolicySettings>,
+}
+
+fn addrs() -> impl FnMut() -> SocketAddr {
+    let mut n = 0u16;
+    move || {
+        n += 1;
+        SocketAddr::from(([127, 0, (n >> 8) as u8, n as u8], 4000))
+    }
+}
+
+impl Town {
+    /// A town with all processes started; its servers are warm within `warm`.
+    pub fn new(seed: u64, machines: usize, cap: usize, warm: Duration, tricks: Tricks) -> Rc<Self> {
+        let sim = Sim::new(seed);
+        let layout = Layout::new(machines, cap, addrs());
+        let me = Rc::new(Self {
+            sim,
+            layout: layout.clone(),
+            history: Rc::default(),
+            words: Rc::default(),
+            tricks,
+            procs: RefCell::default(),
+            servers: Rc::default(),
+            platform: Rc::default(),
+            policy: RefCell::default(),
+        });
+        let add = |name: &str, area: &str, what: What| {
+            let host = me.sim.host(name, area);
+            me.procs.borrow_mut().insert(name.into(), Proc { host, what, told: Rc::default() });
+        };
+        add("platform", "platform", What::Platform);
+        for s in &layout.servers {
+            let setup = Setup {
+                name: s.name.clone(),
+                area: s.area.clone(),
+                addr: s.addr,
+                nodes: layout.reporters(&s.area),
+                cap,
+                warm,
+                work: Duration::from_millis(1),
+                closed: me.words.closed.clone(),
+                drain: Duration::from_secs(7),
+            };
+            add(&s.name, &s.area, What::Server(setup));
+        }
+        for h in &layout.hubs {
+            add(&h.name, &h.area, What::Hub(h.clone()));
+        }
+        for n in &layout.spokes {
+            add(&n.name, &n.area, What::Spoke(n.clone()));
+        }
+        add("desk", "desk", What::Desk);
+        let names: Vec<String> = me.procs.borrow().keys().cloned().collect();
+        names.iter().for_each(|n| me.launch(n));
+        me
+    }
+
+    fn host(&self, name: &str) -> usize {
+        self.procs.borrow()[name].host
+    }
+
+    /// Names of all processes.
+    pub fn names(&self) -> Vec<String> {
+        self.procs.borrow().keys().cloned().collect()
+    }
+
+    /// Names of the processes of an area.
+    pub fn area(&self, area: &str) -> Vec<String> {
+        let hosts = self.sim.hosts.borrow();
+        self.procs.borrow().iter().filter(|(_, p)| hosts[p.host].area == area).map(|(n, _)| n.clone()).collect()
+    }
+
+    /// Starts a process that is down, with what its disk holds.
+    pub fn start(&self, name: &str) {
+        let host = self.host(name);
+        if !self.sim.is_up(host) {
+            self.sim.boot(host);
+            self.launch(name);
+        }
+    }
+
+    fn launch(&self, name: &str) {
+        let (host, what, told) = {
+            let mut procs = self.procs.borrow_mut();
+            let p = procs.get_mut(name).expect("a process of the town");
+            p.told = Rc::default();
+            (p.host, p.what.clone(), p.told.clone())
+        };
+        let env = self.sim.env(host);
+        let (tricks, layout) = (self.tricks, self.layout.clone());
+        let boot = self.sim.hosts.borrow()[host].boot;
+        match what {
+            What::Desk => {}
+            What::Platform => {
+                let known = layout.servers.iter();
+                let known =
+                    known.map(|s| Known { name: s.name.clone(), group: s.group.clone(), addr: s.addr }).collect();
+                let (slot, e) = (self.platform.clone(), env.clone());
+                self.sim.spawn(host, boot, Box::pin(async move {
+                    *slot.borrow_mut() = Platform::start(&e, layout.platform, known).await.ok();
+                    std::future::pending::<()>().await;
+                }));
+            }
+            What::Server(setup) => {
+                let (slot, e) = (self.servers.clone(), env.clone());
+                self.sim.spawn(host, boot, Box::pin(async move {
+                    let name = setup.name.clone();
+                    if let Ok(s) = Server::start(&e, setup).await {
+                        slot.borrow_mut().insert(name, s);
+                    }
+                    std::future::pending::<()>().await;
+                }));
+            }
+            What::Hub(m) => {
+                let text = layout.settings(&m, Some(std::path::Path::new("data")));
+                let place = settings::read(text.as_bytes()).map(|s| s.check()).expect("settings").expect("settings");
+                let e = env.clone();
+                self.sim.spawn(host, boot, Box::pin(async move {
+                    let hub = match hub::run(&e, &place, tricks.hub).await {
+                        Ok(h) => h,
+                        Err(err) => {
+                            e.die(&err.to_string());
+                            return std::future::pending().await;
+                        }
+                    };
+                    told.bell.until(|| told.leave.get().then_some(())).await;
+                    hub.leave().await;
+                    e.sleep(place.bounds.pulse()).await;
+                    told.left.set(true);
+                    e.die("ended as asked");
+                    std::future::pending::<()>().await;
+                }));
+            }
+            What::Spoke(m) => {
+                let text = layout.settings(&m, None);
+                let mut place =
+                    settings::read(text.as_bytes()).map(|s| s.check()).expect("settings").expect("settings");
+                place.policy = self.policy.borrow().clone();
+                let e = env.clone();
+                self.sim.spawn(host, boot, Box::pin(async move {
+                    let spoke = match spoke::run(&e, &place, tricks.spoke).await {
+                        Ok(s) => s,
+                        Err(err) => {
+                            e.die(&err.to_string());
+                            return std::future::pending().await;
+                        }
+                    };
+                    loop {
+                        let seen = told.bell.count();
+                        if told.leave.get() {
+                            break;
+                        }
+                        if let Some(p) = told.policy.borrow_mut().take() {
+                            spoke.policy(&p);
+                        }
+                        told.bell.after(seen).await;
+                    }
+                    spoke.leave().await;
+                    told.left.set(true);
+                    e.die("ended as asked");
+                    std::future::pending::<()>().await;
+                }));
+            }
+        }
+    }
+
+    /// Kills a process.
+    pub fn kill(&self, name: &str) {
+        self.sim.kill(self.host(name), false);
+    }
+
+    /// A process's machine loses power: nobody is told.
+    pub fn dark(&self, name: &str) {
+        self.sim.kill(self.host(name), true);
+    }
+
+    /// Asks a process to end.
+    pub fn leave(&self, name: &str) {
+        let told = self.procs.borrow()[name].told.clone();
+        told.leave.set(true);
+        told.bell.ring();
+    }
+
+    /// Whether it has ended as asked.
+    pub fn left(&self, name: &str) -> bool {
+        self.procs.borrow()[name].told.left.get()
+    }
+
+    /// Changes the selection policy of every spoke, as a changed settings file does.
+    pub fn set_policy(&self, policy: &PolicySettings) {
+        *self.policy.borrow_mut() = policy.clone();
+        for p in self.procs.borrow().values().filter(|p| matches!(p.what, What::Spoke(_))) {
+            *p.told.policy.borrow_mut() = Some(policy.clone());
+            p.told.bell.ring();
+        }
+    }
+
+    /// Whether a process is up.
+    pub fn up(&self, name: &str) -> bool {
+        self.sim.is_up(self.host(name))
+    }
+
+    /// Freezes a process.
+    pub fn freeze(&self, name: &str) {
+        self.sim.freeze(self.host(name));
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self, name: &str) {
+        self.sim.thaw(self.host(name));
+    }
+
+    /// Takes all data from a process that is down.
+    pub fn wipe(&self, name: &str) {
+        self.sim.files(self.host(name)).wipe();
+        self.sim.note(self.host(name), "lost its disk");
+    }
+
+    /// Rots a process's files whose names start so.
+    pub fn rot(&self, name: &str, prefix: &str) {
+        self.sim.files(self.host(name)).rot(&self.sim, prefix);
+        self.sim.note(self.host(name), "has rot on its disk");
+    }
+
+    /// Sets whether a process's disk is full.
+    pub fn fill(&self, name: &str, full: bool) {
+        self.sim.files(self.host(name)).full.set(full);
+        self.sim.note(self.host(name), if full { "has a full disk" } else { "has room on its disk" });
+    }
+
+    /// Sets how fast a process's clock runs, in millionths.
+    pub fn drift(&self, name: &str, rate: u64) {
+        self.sim.drift(self.host(name), rate);
+    }
+
+    /// Cuts one way between two names, of processes or areas.
+    pub fn cut(&self, from: &str, to: &str) {
+        self.sim.net.cut(from, to);
+        self.sim.say(&format!("cut {from} -> {to}"));
+    }
+
+    /// Cuts both ways.
+    pub fn part(&self, one: &str, other: &str) {
+        self.cut(one, other);
+        self.cut(other, one);
+    }
+
+    /// Heals one way.
+    pub fn heal(&self, from: &str, to: &str) {
+        self.sim.net.heal(&self.sim, from, to);
+    }
+
+    /// Makes ways between two areas slow.
+    pub fn slow(&self, one: &str, other: &str, by: Duration) {
+        self.sim.net.slow(one, other, by);
+        self.sim.net.slow(other, one, by);
+    }
+
+    /// Heals all ways, thaws, empties no disk, starts everything.
+    pub fn mend(&self) {
+        self.sim.net.heal_all(&self.sim);
+        for n in self.names() {
+            self.thaw(&n);
+            self.drift(&n, 1_000_000);
+            self.sim.files(self.host(&n)).full.set(false);
+            self.sim.files(self.host(&n)).broken.set(false);
+            self.start(&n);
+        }
+        for s in self.servers.borrow().values() {
+            s.stalled.set(false);
+            s.mute.set(0);
+            s.draining.set(false);
+        }
+        self.sim.say("all is mended");
+    }
+
+    /// The environment of the callers' and operators' desk.
+    pub fn desk(&self) -> base::Env {
+        self.sim.env(self.host("desk"))
+    }
+
+    /// Runs a task at the desk until it has ended or the span is over.
+    pub fn at_desk<T: 'static>(&self, most: Duration, task: impl Future<Output = T> + 'static) -> Option<T> {
+        let out = Rc::new(RefCell::new(None));
+        let slot = out.clone();
+        let host = self.host("desk");
+        let boot = self.sim.hosts.borrow()[host].boot;
+        self.sim.spawn(host, boot, Box::pin(async move {
+            let v = task.await;
+            *slot.borrow_mut() = Some(v);
+        }));
+        let seen = out.clone();
+        self.sim.run(self.sim.now() + most, &move || seen.borrow().is_some());
+        out.take()
+    }
+
+    /// Puts the standard doorway set and waits until all serve.
+    pub fn settle(&self, most: Duration) -> Result<(), String> {
+        let (env, layout) = (self.desk(), self.layout.clone());
+        let out = self.at_desk(most, async move {
+            crate::fleet::configure(&env, &layout, most).await?;
+            crate::fleet::ready(&env, &layout, most).await
+        });
+        out.unwrap_or(Err("the town did not settle in time".into()))
+    }
+
+    /// Starts load at the desk; it ends by itself.
+    pub fn drive(&self, sessions: usize, rate: f64, span: Duration) {
+        let plan = Plan {
+            nodes: self.layout.nodes(),
+            sessions,
+            rate,
+            span,
+            keys: 30,
+            leave: 10,
+            patience: Duration::from_secs(5),
+        };
+        let (env, history) = (self.desk(), self.history.clone());
+        let host = self.host("desk");
+        let boot = self.sim.hosts.borrow()[host].boot;
+        self.sim.spawn(host, boot, Box::pin(async move { load::run(&env, &plan, &history).await }));
+    }
+
+    /// Starts an operator and a witness for each node at the desk; they end by themselves.
+    pub fn operate(&self, areas: bool, span: Duration) {
+        let host = self.host("desk");
+        let boot = self.sim.hosts.borrow()[host].boot;
+        let row = |m: &Machine| Node { name: m.name.clone(), area: m.area.clone(), addr: m.http };
+        let me = Rc::new(Operator {
+            env: self.desk(),
+            nodes: self.layout.nodes(),
+            hubs: self.layout.hubs.iter().map(row).collect(),
+            groups: self.layout.groups(),
+            words: self.words.clone(),
+            areas,
+            empty: Duration::from_secs(5),
+        });
+        let stop = Rc::new(Cell::new(false));
+        let (m, s) = (me.clone(), stop.clone());
+        self.sim.spawn(host, boot, Box::pin(async move { m.work(&s).await }));
+        for n in me.nodes.clone() {
+            let (m, s) = (me.clone(), stop.clone());
+            self.sim.spawn(host, boot, Box::pin(async move { m.witness(&n, &s).await }));
+        }
+        self.sim.later(span, move |_| stop.set(true));
+    }
+
+    /// The elected leader's name, as the platform was told last.
+    pub fn leader(&self, group: &str) -> Option<String> {
+        let p = self.platform.borrow();
+        let h = p.as_ref()?.history.borrow();
+        h.iter().rev().find(|(_, n)| n.group == group).map(|(_, n)| n.server.clone())
+    }
+
+    /// The hub that leads, as its own page says.
+    pub fn chief(&self) -> Option<String> {
+        let (env, layout) = (self.desk(), self.layout.clone());
+        self.at_desk(Duration::from_secs(5), async move { crate::fleet::chief(&env, &layout).await })?
+    }
+
+    /// Everything the checkers find, by what callers, servers and operators saw.
+    pub fn findings(&self) -> Vec<String> {
+        let mut out = Vec::new();
+        let mut logs: BTreeMap<&str, Vec<Entry>> = BTreeMap::new();
+        for (i, (db, _, _)) in DOORS.iter().enumerate() {
+            let (group, _) = &self.layout.groups()[i];
+            let Some(name) = self.leader(group) else {
+                out.push(format!("{group} never had a leader"));
+                continue;
+            };
+            if let Some(s) = self.servers.borrow().get(&name) {
+                logs.insert(db, s.entries());
+            }
+        }
+        for (name, s) in self.servers.borrow().iter() {
+            let st = s.stats.borrow();
+            if st.mixed > 0 {
+                out.push(format!("{name}: {} statements met another caller's session", st.mixed));
+            }
+            if st.late > 0 {
+                out.push(format!("{name}: {} statements came after it was drained or its area emptied", st.late));
+            }
+            if st.flooded > 0 {
+                out.push(format!("{name}: {} statements flooded it while cold", st.flooded));
+            }
+            if st.most_open > s.setup.cap as u64 {
+                out.push(format!("{name}: {} connections over the cap of {}", st.most_open, s.setup.cap));
+            }
+        }
+        let areas = self.layout.spokes.iter().map(|m| (m.name.clone(), m.area.clone())).collect();
+        let (late, empty) = (Duration::from_secs(3), Duration::from_secs(5));
+        out.extend(check_words::words(&self.words, &self.history.events.borrow(), &areas, late, empty));
+        out.extend(check::history(&self.history.events.borrow(), &logs, Duration::from_millis(1500)));
+        out
+    }
+
+    /// The report of all load so far.
+    pub fn report(&self) -> Report {
+        Report::new(&self.history.events.borrow(), self.findings())
+    }
+}
--- /dev/null
+++ b/kit/src/sim/world.rs
@@ -0,0 +1,91 @@
+use std::{cell::RefCell, future::poll_fn, io, net::SocketAddr, rc::Rc, task::Poll, time::Duration};
+
+use base::seam::{Disk, Listener, Local, Part, Stream, World};
+
+use super::{
+    core::{Due, Line, Sim},
+    disk::Drive,
+};
+
+/// One run of one simulated process.
+pub(super) struct Place {
+    pub sim: Rc<Sim>,
+    pub host: usize,
+    pub boot: u64,
+}
+
+impl Place {
+    fn rate(&self) -> u64 {
+        self.sim.hosts.borrow()[self.host].rate
+    }
+}
+
+/// Waits for a span of the world's own time.
+pub(super) async fn rest(sim: &Rc<Sim>, span: Duration) {
+    let end = sim.now() + span;
+    let set = RefCell::new(false);
+    poll_fn(|cx| {
+        if sim.now() >= end {
+            return Poll::Ready(());
+        }
+        if !set.replace(true) {
+            sim.at(end, Due::Wake(cx.waker().clone()));
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+fn scale(span: Duration, by: u64, of: u64) -> Duration {
+    Duration::from_nanos((span.as_nanos() * u128::from(by) / u128::from(of)).min(u128::from(u64::MAX)) as u64)
+}
+
+impl World for Place {
+    fn now(&self) -> Duration {
+        scale(self.sim.now(), self.rate(), 1_000_000)
+    }
+
+    fn sleep(&self, span: Duration) -> Local<()> {
+        let sim = self.sim.clone();
+        let span = scale(span, 1_000_000, self.rate());
+        // Rounded up, so that a clock that runs slow has reached the end when it wakes.
+        Box::pin(async move { rest(&sim, span + Duration::from_nanos(2)).await })
+    }
+
+    fn spawn(&self, task: Local<()>) {
+        self.sim.spawn(self.host, self.boot, task);
+    }
+
+    fn rand(&self) -> u64 {
+        self.sim.rand()
+    }
+
+    fn listen(&self, addr: SocketAddr) -> Local<io::Result<Rc<dyn Listener>>> {
+        let (sim, host, boot) = (self.sim.clone(), self.host, self.boot);
+        Box::pin(async move { sim.net.listen(host, boot, addr) })
+    }
+
+    fn connect(&self, addr: SocketAddr) -> Local<io::Result<Box<dyn Stream>>> {
+        let (sim, host) = (self.sim.clone(), self.host);
+        Box::pin(async move { sim.net.connect(&sim, host, addr).await })
+    }
+
+    fn disk(&self) -> Option<Rc<dyn Disk>> {
+        Some(Rc::new(Drive { sim: self.sim.clone(), files: self.sim.files(self.host) }))
+    }
+
+    fn log(&self, part: Part, text: &str) {
+        let who = self.sim.hosts.borrow()[self.host].name.clone();
+        self.sim.lines.borrow_mut().push(Line { at: self.sim.now(), who, part, text: text.into() });
+    }
+
+    fn die(&self, text: &str) {
+        self.log(Part::Main, text);
+        let (host, boot) = (self.host, self.boot);
+        self.sim.later(Duration::ZERO, move |sim| {
+            if sim.hosts.borrow()[host].boot == boot {
+                sim.kill(host, false);
+            }
+        });
+    }
+}
