Give up waiting for a server once its answer could not be used

Cause: a statement sent to a leader that went dark held its caller until the whole due had passed, though the leader grant had long ended and no answer could be acknowledged any more.

Change: a send is watched from a sixth of the freshness bound on; when its basis falls or a follower is lost sight of, the caller is answered at once (unknown for a write, another server for a read). The measure now counts as served only what is answered within a second of when it was meant to be sent; late answers hid the stuck callers before.

--- a/kit/src/main.rs
+++ b/kit/src/main.rs
@@ -247,6 +247,7 @@
     let Some((first, last)) = ends else { usage(format!("--seeds {:?}: FIRST..LAST", a.seeds)) };
     let tricks = a.without.as_deref().map(|n| kit::sim::Tricks::without(n).unwrap_or_else(|| usage(format!("--without {n:?}: no such guard"))));
     let tricks = tricks.unwrap_or_default();
+    let mut whys: std::collections::BTreeMap<String, u64> = Default::default();
     let (mut bad, mut during, mut after) = (0, 0.0, 0.0);
     let text = a.timeline.as_ref().map(|p| std::fs::read_to_string(p).unwrap_or_else(|e| usage(format!("{}: {e}", p.display()))));
     for seed in first..=last {
@@ -272,6 +273,9 @@
             w.acked.get(), w.conflicts.get(), w.refused.get(), w.sights.borrow().len(), w.emptied.borrow().len()
         );
         println!("seed {seed}: during {:.1} % after {:.1} % trace {:016x} {words}", out.during * 100.0, out.after * 100.0, out.trace);
+        for w in out.town.report().whys {
+            *whys.entry(w.why).or_default() += w.count;
+        }
         during += out.during;
         after += out.after;
         if !out.findings.is_empty() {
@@ -285,6 +289,7 @@
         println!("{n} seeds, {bad} with findings");
         exit(i32::from(bad > 0));
     }
+    whys.iter().for_each(|(w, c)| println!("not done: {c} x {w}"));
     println!("{n} seeds, {bad} with findings; answered {:.2} % during, {:.2} % after", during / n * 100.0, after / n * 100.0);
     if bad > 0 {
         exit(1);
--- a/kit/src/sim/swarm.rs
+++ b/kit/src/sim/swarm.rs
@@ -22,6 +22,9 @@
     "wipe-hub", "rot-hub", "full-hub", "cut-areas", "cut-one-way", "dark-area", "stall", "mute", "drain",
 ];
 
+/// How soon after it was meant to be sent a request must be answered to count as served.
+const PROMPT: Duration = Duration::from_secs(1);
+
 /// Runs one seed.
 pub fn swarm(seed: u64, tricks: Tricks) -> Outcome {
     let town = Town::new(seed, 6, 40, Duration::from_secs(1), tricks);
@@ -72,7 +75,7 @@
         let list: Vec<_> = events
             .iter()
             .filter(|e| (e.meant >= from) == late && e.end != crate::load::End::Left)
-            .map(|e| e.end == crate::load::End::Good)
+            .map(|e| e.end == crate::load::End::Good && e.done - e.meant <= PROMPT)
             .collect();
         list.iter().filter(|g| **g).count() as f64 / list.len().max(1) as f64
     };
--- a/spoke/src/work/mod.rs
+++ b/spoke/src/work/mod.rs
@@ -5,20 +5,22 @@
 mod trans;
 mod write;
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use base::{
     edge::{
         backend::{self, Signs},
-        caller,
+        caller::{self, Verb},
     },
-    http::Return,
+    http::{Fault, Return},
     seam::Env,
 };
+use bytes::Bytes;
+use futures::future::{Either, select};
 use pick::Outcome;
 
 use crate::{
-    decide::Decider,
+    decide::{Decider, Target},
     gauge::{Gauges, Key},
     pool::Slot,
     run::Pools,
@@ -57,7 +59,39 @@
     pub ids: Cell<u64>,
 }
 
+/// Why a call was given up or brought nothing.
+pub enum Cut {
+    Fault(Fault),
+    /// The server was lost sight of, or the grant ended, before an answer came.
+    Given,
+}
+
 impl Works {
+    /// Sends one statement; gives up waiting as soon as no answer could be used any more.
+    async fn send(
+        &self,
+        slot: &mut Slot,
+        target: &Target,
+        verb: Verb,
+        head: &[(&str, String)],
+        body: Bytes,
+        due: Duration,
+    ) -> Result<Return, Cut> {
+        let call = slot.call(backend::path(verb), head, body, due);
+        match select(pin!(call), pin!(self.lost(target))).await {
+            Either::Left((out, _)) => out.map_err(Cut::Fault),
+            Either::Right(_) => Err(Cut::Given),
+        }
+    }
+
+    /// Ends when an answer from the target could no longer be used. Most answers come before it first looks.
+    async fn lost(&self, target: &Target) {
+        self.env.sleep(self.decider.bounds.sample()).await;
+        while self.decider.still(target) && self.decider.open(target) {
+            self.env.sleep(self.decider.bounds.sample() / 2).await;
+        }
+    }
+
     /// Notes what a server's answer shows of the server.
     fn note(&self, key: &Key, slot: &Slot, out: &Return, asked: Duration) -> Signs {
         let signs = backend::signs(out);
--- a/spoke/src/work/read.rs
+++ b/spoke/src/work/read.rs
@@ -3,7 +3,7 @@
 use base::{
     Kind,
     edge::{
-        self, backend,
+        self,
         caller::{self, Verb, Word},
     },
     http::Return,
@@ -76,7 +76,7 @@
             }
             let asked = self.env.now();
             let head = [(caller::SEND, word.send.to_string())];
-            let Ok(out) = slot.call(backend::path(word.verb), &head, body.clone(), due).await else {
+            let Ok(out) = self.send(&mut slot, &target, word.verb, &head, body.clone(), due).await else {
                 self.gauges.record(key, &target.server, pick::Outcome::Error, self.env.now() - asked);
                 last = Kind::Failed;
                 tried.push(target.server);
--- a/spoke/src/work/trans.rs
+++ b/spoke/src/work/trans.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 
 use super::{
-    Works,
+    Cut, Works,
     session::{Ended, STATES, Store, Trans},
     write::line,
 };
@@ -63,7 +63,7 @@
             let asked = self.env.now();
             let head = [(caller::SEND, word.send.to_string()), (backend::LINE, line(&target))];
             // Nothing is kept of a transaction that got no further than its opening.
-            let Ok(out) = slot.call(backend::path(Verb::Begin), &head, body.clone(), due).await else {
+            let Ok(out) = self.send(&mut slot, &target, Verb::Begin, &head, body.clone(), due).await else {
                 self.gauges.record(key, &target.server, pick::Outcome::Error, self.env.now() - asked);
                 last = Kind::NoServer;
                 continue;
@@ -143,12 +143,12 @@
         let key = self.gauges.key(word.name, word.label);
         let asked = self.env.now();
         let head = [(caller::SEND, word.send.to_string()), (backend::LINE, line(&t.target))];
-        let out = t.slot.call(backend::path(word.verb), &head, body.clone(), due).await;
+        let out = self.send(&mut t.slot, &t.target, word.verb, &head, body.clone(), due).await;
         let out = match out {
             Ok(o) => o,
-            Err(fault) => {
+            Err(cut) => {
                 self.gauges.record(&key, &t.target.server, pick::Outcome::Error, self.env.now() - asked);
-                if word.verb == Verb::Commit && fault == Fault::Unsure {
+                if word.verb == Verb::Commit && !matches!(cut, Cut::Fault(Fault::Unsent)) {
                     return self.unsure(store);
                 }
                 return no(Kind::Lost, "the connection broke; nothing of the transaction is kept");
--- a/spoke/src/work/write.rs
+++ b/spoke/src/work/write.rs
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 
-use super::{Works, bump, session::Store};
+use super::{Cut, Works, bump, session::Store};
 use crate::{
     decide::{Gate, Order, Target},
     gauge::Key,
@@ -63,12 +63,12 @@
             }
             let asked = self.env.now();
             let head = [(caller::SEND, word.send.to_string()), (backend::LINE, line(&target))];
-            let out = match slot.call(backend::path(word.verb), &head, body.clone(), due).await {
+            let out = match self.send(&mut slot, &target, word.verb, &head, body.clone(), due).await {
                 Ok(o) => o,
-                Err(fault) => {
+                Err(cut) => {
                     self.gauges.record(key, &target.server, pick::Outcome::Error, self.env.now() - asked);
                     drop(slot);
-                    if fault == Fault::Unsent || self.decider.tricks.resend {
+                    if matches!(cut, Cut::Fault(Fault::Unsent)) || self.decider.tricks.resend {
                         last = Kind::NoServer;
                         continue;
                     }
