Elect and regroup sooner: suspicion, hand-back, links that wait to be fed

Cause: a lost leader took 3.3 s to replace, of which 1.2 s was waiting for grants that everybody could have handed back and 0.5 s for the very server that was missing; a lost leading hub left nodes without parent for up to 1.9 s, as they waited for dead candidates and asked anew each time; two hubs asking in the same tick split the votes. A returning leader was deposed right after it was proven, since nodes still told of its old silence.

Ruled out: the grace of a new leading hub (2.2 s); it is needed as long as dead nodes may hold grants.

Change: a leader missed for half its time gets no new grants; a node that loses a grant beats at once; elections don't wait for the missed server; nodes keep links to candidates open until one is fed; holds carry a little chance; silence counts from the proof of a leader at the earliest. In the simulation a clock's rate no longer makes it jump.

--- a/hub/src/agree/answer.rs
+++ b/hub/src/agree/answer.rs
@@ -23,7 +23,7 @@
                 self.follow("");
             }
             self.save(store, next).await;
-            self.state.borrow_mut().hold = self.env.now() + self.bounds.hold();
+            self.hold();
         }
         let s = self.state.borrow();
         out.send(Body::VoteReturn(VoteReturn {
@@ -54,7 +54,7 @@
                     self.follow(from);
                 }
                 taken = self.take(store, &p).await;
-                self.state.borrow_mut().hold = self.env.now() + self.bounds.hold();
+                self.hold();
             }
         }
         let s = self.state.borrow();
--- a/hub/src/agree/campaign.rs
+++ b/hub/src/agree/campaign.rs
@@ -14,7 +14,7 @@
             let heard = s.heard(&self.who.name, &self.env).unwrap_or(s.led_since).max(s.led_since);
             let due = match &s.role {
                 Role::Following => now >= s.hold,
-                Role::Asking { since, .. } => now >= *since + self.bounds.pulse() * 2,
+                Role::Asking { since, wait, .. } => now >= *since + *wait,
                 Role::Leading => false,
             };
             let lost = leading && now > heard + patience && !self.loose.no_lease;
@@ -29,10 +29,7 @@
         } else if blank {
             self.form(store).await;
         } else if due {
-            // Chance keeps two askers from splitting the votes for ever.
-            if self.env.below(2) == 0 {
-                self.campaign(store, false).await;
-            }
+            self.campaign(store, false).await;
         }
         self.bell.ring();
     }
@@ -58,7 +55,9 @@
         let mut s = self.state.borrow_mut();
         s.nonce += 1;
         let nonce = s.nonce;
-        s.role = Role::Asking { trial, nonce, since: self.env.now(), got: Vec::new(), named };
+        // Chance keeps two askers from splitting the votes for ever.
+        let wait = self.bounds.pulse() + self.bounds.pulse() * self.env.below(16) as u32 / 16;
+        s.role = Role::Asking { trial, nonce, since: self.env.now(), wait, got: Vec::new(), named };
         let vote = s.vote(nonce, trial, named);
         for p in s.peers.values() {
             if let Some(out) = &p.out {
--- a/hub/src/agree/desk.rs
+++ b/hub/src/agree/desk.rs
@@ -51,14 +51,22 @@
         }
     }
 
-    /// Ticks the desk at each pulse.
+    /// Ticks the desk at each pulse while leading, eight times as often while watching for the end of a hold.
     pub async fn ticks(self: Rc<Self>) {
         loop {
             let _ = self.inbox.unbounded_send(Job::Tick);
-            self.env.sleep(self.bounds.pulse()).await;
+            let leading = self.state.borrow().role == Role::Leading;
+            self.env.sleep(self.bounds.pulse() / if leading { 1 } else { 8 }).await;
         }
     }
 
+    /// Holds to a hub for a while; a little chance keeps two from asking at once when it falls silent.
+    pub(super) fn hold(&self) {
+        let some = self.env.below(self.bounds.pulse().as_millis() as u64);
+        let until = self.env.now() + self.bounds.hold() + std::time::Duration::from_millis(some);
+        self.state.borrow_mut().hold = until;
+    }
+
     /// Saves, then shows, what is to be remembered.
     pub(super) async fn save(&self, store: &mut Store, kept: Kept) {
         store.must(&kept).await;
--- a/hub/src/agree/mod.rs
+++ b/hub/src/agree/mod.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, PartialEq)]
 enum Role {
     Following,
-    Asking { trial: bool, nonce: u64, since: Duration, got: Vec<String>, named: bool },
+    Asking { trial: bool, nonce: u64, since: Duration, wait: Duration, got: Vec<String>, named: bool },
     Leading,
 }
 
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -19,6 +19,8 @@
     pub granting: bool,
     /// Whether the elected server was seen leading on its line, with a second server following it.
     pub proven: bool,
+    /// When that was.
+    pub since: Duration,
     /// A server that an operator wishes to lead.
     pub wish: Option<String>,
     /// Why the next election is held.
@@ -98,18 +100,20 @@
         if !proven {
             if self.proof(g, e) {
                 self.log(Part::Elect, format!("{} leads {} on line {}", e.server, g.name, e.line));
+                let now = self.env.now();
                 self.edit(&g.name, |s| {
                     s.proven = true;
                     s.granting = true;
+                    s.since = now;
                 });
                 self.bell.ring();
                 return;
             }
             self.edit(&g.name, |s| s.granting = false);
-            let since = self.env.now();
             self.name(&g.name, e).await;
             let wait = self.bell.until(|| self.proof(g, e).then_some(()));
-            if self.env.within(self.bounds.gone(), wait).await.is_err() && self.dead(&e.server, since) {
+            let since_long = self.bounds.gone();
+            if self.env.within(since_long, wait).await.is_err() && self.quiet(&e.server, self.env.now()) > since_long {
                 self.edit(&g.name, |s| s.why = format!("{} did not take the lead", e.server));
                 self.elect(g, Some(e), false).await;
             }
@@ -117,7 +121,11 @@
         }
         let told = |s: &str| self.servers.borrow().get(s).cloned();
         let leader = told(&e.server);
-        if self.dead(&e.server, self.env.now()) {
+        let now = self.env.now();
+        // Nodes that met a returning leader late still count their old silence; they get time to see it.
+        let known = now.saturating_sub(st.since);
+        let quiet = self.quiet(&e.server, now).min(known);
+        if quiet > self.bounds.gone() {
             self.edit(&g.name, |s| s.why = format!("{} is gone", e.server));
             self.elect(g, Some(e), false).await;
             return;
@@ -125,8 +133,13 @@
         let away = leader.is_some_and(|t| t.draining || image.emptied.contains(&t.area));
         let wish = st.wish.filter(|w| *w != e.server && g.servers.contains(w));
         if !away && wish.is_none() {
+            // A leader that half has lost sight of gets no new grants, so that they run out while it is watched.
+            let granting = quiet < self.bounds.gone() / 2;
+            if st.granting != granting {
+                self.log(Part::Elect, format!("{} {}", e.server, if granting { "is seen again" } else { "is missed" }));
+            }
             self.edit(&g.name, |s| {
-                s.granting = true;
+                s.granting = granting;
                 s.wish = None;
             });
             return;
@@ -149,22 +162,20 @@
         leads && second
     }
 
-    /// Whether more than half of those who look at a server have gone unanswered for too long.
-    fn dead(&self, server: &str, now: Duration) -> bool {
-        let most = self.bounds.gone();
-        let fresh = self.env.now().saturating_sub(self.bounds.beat() * 4);
+    /// For how long at least half of those who look at a server have had no answer from it.
+    fn quiet(&self, server: &str, now: Duration) -> Duration {
+        let fresh = now.saturating_sub(self.bounds.beat() * 4);
         let (_, since) = self.agree.term();
-        if now < since + most {
-            return false;
-        }
-        let own = self.seen.borrow().get(server).is_none_or(|s| now.saturating_sub(s.at) > most);
-        let mut votes = vec![own];
+        let most = now.saturating_sub(since);
+        let own = self.seen.borrow().get(server).map_or(most, |s| now.saturating_sub(s.at));
+        let mut ages = vec![own.min(most)];
         for seat in self.seats.borrow().values().filter(|s| !s.hub && s.heard > fresh) {
             if let Some(x) = seat.sights.iter().find(|x| x.server == server) {
-                votes.push(Duration::from_millis(x.age) > most);
+                ages.push((Duration::from_millis(x.age) + now.saturating_sub(seat.heard)).min(most));
             }
         }
-        votes.iter().filter(|v| **v).count() * 2 > votes.len()
+        ages.sort();
+        ages[(ages.len() - 1) / 2]
     }
 
     fn runners(&self, g: &Group, image: &Image, since: Duration) -> Vec<Runner> {
@@ -218,8 +229,10 @@
                 }
                 continue;
             }
-            // Give the last one a moment to answer too, so that a tie is broken well.
-            if rows.len() < g.servers.len() && self.env.now() - since < self.bounds.sample() * 2 {
+            // Give the last one a moment to answer too, so that a tie is broken well; not if it is the one missed.
+            let gone = |s: &String| self.quiet(s, self.env.now()) > self.bounds.gone() / 2;
+            let absent = g.servers.iter().filter(|s| !rows.iter().any(|r| r.name == **s)).any(|s| !gone(s));
+            if absent && self.env.now() - since < self.bounds.sample() * 2 {
                 continue;
             }
             let top = rows.iter().map(|r| r.place).max().unwrap_or_default();
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -82,6 +82,7 @@
             self.agree.bell.until(|| self.agree.leads().then_some(())).await;
             let (term, _) = self.agree.term();
             self.take_over(term);
+            self.relay.hurry.ring();
             let me = self.clone();
             let probes = self.env.spawn(async move { me.probes().await });
             let me = self.clone();
--- a/kit/src/server/follow.rs
+++ b/kit/src/server/follow.rs
@@ -1,7 +1,8 @@
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
 
 use base::{http::Client, strict};
 use bytes::Bytes;
+use futures::future::{Either, select};
 
 use super::{Entry, Server};
 
@@ -23,7 +24,9 @@
                 self.env.sleep(Duration::from_millis(20)).await;
                 continue;
             };
-            let Ok(mut line) = Client::connect(&self.env, addr, SPAN, 64 << 20).await else {
+            let moved = self.bell.until(|| (self.leader.get() != Some(addr)).then_some(()));
+            let join = Client::connect(&self.env, addr, SPAN, 64 << 20);
+            let Either::Left((Ok(mut line), _)) = select(pin!(join), pin!(moved)).await else {
                 self.env.sleep(Duration::from_millis(50)).await;
                 continue;
             };
@@ -31,7 +34,10 @@
                 let after = self.log.borrow().len() as u64;
                 let of = self.log.borrow().last().map_or(0, |e| e.line);
                 let path = format!("/log?after={after}&of={of}&line={}", self.line.get());
-                let Ok(out) = line.call("GET", &path, &[], Bytes::new(), SPAN).await else { break };
+                // A leader that changed is left at once, whatever the old one still owes.
+                let moved = self.bell.until(|| (self.leader.get() != Some(addr)).then_some(()));
+                let call = line.call("GET", &path, &[], Bytes::new(), SPAN);
+                let Either::Left((Ok(out), _)) = select(pin!(call), pin!(moved)).await else { break };
                 if self.leader.get() != Some(addr) || self.leads.get() || self.stalled.get() {
                     break;
                 }
--- a/kit/src/sim/core.rs
+++ b/kit/src/sim/core.rs
@@ -48,9 +48,23 @@
     pub frozen: bool,
     /// How fast its clock runs, in millionths.
     pub rate: u64,
+    /// The world's time and its own when the rate was set.
+    pub base: (Duration, Duration),
     pub files: Rc<Files>,
 }
 
+impl Host {
+    /// What its clock shows at a time of the world; it never jumps.
+    pub fn local(&self, now: Duration) -> Duration {
+        self.base.1 + scale(now - self.base.0, self.rate, 1_000_000)
+    }
+}
+
+/// A span by a ratio.
+pub(super) fn scale(span: Duration, by: u64, of: u64) -> Duration {
+    Duration::from_nanos((span.as_nanos() * u128::from(by) / u128::from(of)).min(u128::from(u64::MAX)) as u64)
+}
+
 struct Cell0 {
     host: usize,
     boot: u64,
@@ -155,6 +169,7 @@
             up: true,
             frozen: false,
             rate: 1_000_000,
+            base: Default::default(),
             files: Rc::default(),
         });
         all.len() - 1
@@ -329,7 +344,10 @@
 
     /// Sets how fast a host's clock runs, in millionths.
     pub fn drift(&self, host: usize, rate: u64) {
-        self.hosts.borrow_mut()[host].rate = rate;
+        let now = self.now();
+        let h = &mut self.hosts.borrow_mut()[host];
+        h.base = (now, h.local(now));
+        h.rate = rate;
     }
 
     /// The disk of a host.
--- a/kit/src/sim/world.rs
+++ b/kit/src/sim/world.rs
@@ -3,7 +3,7 @@
 use base::seam::{Disk, Listener, Local, Part, Stream, World};
 
 use super::{
-    core::{Due, Line, Sim},
+    core::{Due, Line, Sim, scale},
     disk::Drive,
 };
 
@@ -36,13 +36,9 @@
     .await
 }
 
-fn scale(span: Duration, by: u64, of: u64) -> Duration {
-    Duration::from_nanos((span.as_nanos() * u128::from(by) / u128::from(of)).min(u128::from(u64::MAX)) as u64)
-}
-
 impl World for Place {
     fn now(&self) -> Duration {
-        scale(self.sim.now(), self.rate(), 1_000_000)
+        self.sim.hosts.borrow()[self.host].local(self.sim.now())
     }
 
     fn sleep(&self, span: Duration) -> Local<()> {
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -133,6 +133,7 @@
     journal: Rc<Journal>,
     gauges: Rc<Gauges>,
     pools: Rc<Pools>,
+    hurry: Bell,
 }
 
 impl Head for Node {
@@ -158,7 +159,12 @@
     }
 
     fn returned(&self, ret: BeatReturn, sent: Duration) {
+        let before = self.journal.view().handed;
         self.journal.append(Event::Returned { ret, sent });
+        if self.journal.view().handed != before {
+            // The sooner the leading hub hears that the grant is handed back, the sooner it may elect.
+            self.hurry.ring();
+        }
     }
 
     fn news(&self, news: &Rc<News>) {
@@ -208,6 +214,7 @@
         journal: journal.clone(),
         gauges: gauges.clone(),
         pools: pools.clone(),
+        hurry: relay.hurry.clone(),
     }));
     let door = Door::new(place.most_sessions, place.most_body);
     let decider = Decider {
--- a/spoke/src/view/fold.rs
+++ b/spoke/src/view/fold.rs
@@ -20,6 +20,7 @@
                     .collect();
                 let moved = leads.iter().any(|(g, l)| self.leads.get(g).is_none_or(|o| o.line != l.line))
                     || self.leads.keys().any(|g| !leads.contains_key(g));
+                self.handed += u64::from(self.leads.keys().any(|g| !leads.contains_key(g)));
                 self.leads = leads;
                 for s in ret.shares {
                     self.shares.insert(s.server, (s.count, sent + Duration::from_millis(s.span)));
--- a/spoke/src/view/mod.rs
+++ b/spoke/src/view/mod.rs
@@ -55,6 +55,8 @@
     pub mark: Mark,
     /// The leading hub's word was the newest at this time.
     pub confirmed: Option<Duration>,
+    /// How often a leader grant was taken back.
+    pub handed: u64,
     waits: Vec<(Duration, Mark)>,
 }
 
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -50,39 +50,50 @@
         list
     }
 
+    /// Waits for a fed candidate; the best of those that turn up within a moment of the first.
     async fn find(&self) -> Option<Found> {
         let mut looks: FuturesUnordered<_> = self.places().into_iter().map(|a| self.look(a)).collect();
         let mut good: Vec<Found> = Vec::new();
-        let rest = self.env.sleep(self.bounds().call()).fuse();
-        pin_mut!(rest);
+        let last = self.env.sleep(self.bounds().call() * 2).fuse();
+        pin_mut!(last);
+        let mut soon = Box::pin(futures::future::Fuse::terminated());
         loop {
             select_biased! {
                 next = looks.next() => match next {
                     None => break,
                     Some(None) => {}
                     Some(Some(f)) => {
-                        let mine = f.hello.area == self.who.area && f.hello.hub && !f.root.full;
+                        let best = f.hello.area == self.who.area && f.hello.hub && !f.root.full;
+                        if good.is_empty() {
+                            soon = Box::pin(self.env.sleep(self.bounds().pulse() / 4).fuse());
+                        }
                         good.push(f);
-                        if mine {
+                        if best {
                             break;
                         }
                     }
                 },
-                _ = rest => break,
+                _ = soon => break,
+                _ = last => break,
             }
         }
         let key = |f: &Found| (f.root.full, f.hello.area != self.who.area, f.root.depth, self.env.rand());
         good.into_iter().min_by_key(key)
     }
 
+    /// Opens a link and waits on it until the other side is fed.
     async fn look(&self, addr: SocketAddr) -> Option<Found> {
         let span = self.bounds().call();
         let io = self.env.connect(addr, span).await.ok()?;
         let (mut inn, out) = link::open(&self.env, io);
         out.send(Body::Hello(self.hello()));
         let Ok(Ok(Body::Hello(hello))) = self.env.within(span, inn.next()).await else { return None };
-        let Ok(Ok(Body::Root(root))) = self.env.within(span, inn.next()).await else { return None };
-        (root.fed && !root.path.contains(&self.who.name)).then_some(Found { hello, root, inn, out })
+        loop {
+            let Ok(Body::Root(root)) = inn.next().await else { return None };
+            if root.fed && !root.path.contains(&self.who.name) {
+                return Some(Found { hello, root, inn, out });
+            }
+        }
     }
 
     async fn stay(&self, found: Found) {
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -76,6 +76,8 @@
     own: RefCell<std::rc::Weak<Relay>>,
     head: RefCell<Option<Rc<dyn Head>>>,
     children: RefCell<BTreeMap<u64, Child>>,
+    /// Links of nodes that look for a parent.
+    lookers: RefCell<BTreeMap<u64, Out>>,
     routes: RefCell<BTreeMap<String, u64>>,
     parent: RefCell<Option<Parent>>,
     news: RefCell<Option<Rc<News>>>,
@@ -102,6 +104,7 @@
             bounds: RefCell::new(bounds),
             head: RefCell::default(),
             children: RefCell::default(),
+            lookers: RefCell::default(),
             routes: RefCell::default(),
             parent: RefCell::default(),
             news: RefCell::default(),
@@ -254,8 +257,12 @@
                     return;
                 }
                 self.heard.set(r.nonce);
+                let hungry = !self.fed();
                 self.heard_at.set(Some(self.heard_at.get().map_or(sent, |t| t.max(sent))));
                 self.head().returned(r, sent);
+                if hungry {
+                    self.tell_root();
+                }
             }
             Body::AskReturn(r) => {
                 if let Some(done) = self.asks.borrow_mut().remove(&r.nonce) {
@@ -313,6 +320,17 @@
         out.send(Body::Beat(beat));
     }
 
+    /// Tells children and those who look whether this node is fed.
+    fn tell_root(&self) {
+        let root = self.root();
+        for c in self.children.borrow().values() {
+            c.out.send(Body::Root(root.clone()));
+        }
+        for out in self.lookers.borrow().values() {
+            out.send(Body::Root(root.clone()));
+        }
+    }
+
     /// Beats for as long as the process runs.
     pub async fn beats(self: Rc<Self>) -> Result<(), std::convert::Infallible> {
         loop {
@@ -320,10 +338,7 @@
             if !self.head().rooted() {
                 self.send_beat(false);
             }
-            let root = self.root();
-            for c in self.children.borrow().values() {
-                c.out.send(Body::Root(root.clone()));
-            }
+            self.tell_root();
             let _ = self.env.within(self.bounds().beat(), self.hurry.after(seen)).await;
         }
     }
--- a/wire/src/relay/serve.rs
+++ b/wire/src/relay/serve.rs
@@ -34,6 +34,7 @@
         out.send(Body::Hello(self.hello()));
         out.send(Body::Root(self.root()));
         let id = self.next();
+        self.lookers.borrow_mut().insert(id, out.clone());
         let quiet = self.stale() * if from.hub { 60 } else { 4 };
         let end = loop {
             let body = match self.env.within(quiet, inn.next()).await {
@@ -52,13 +53,18 @@
                     self.routes.borrow_mut().insert(origin, id);
                     self.up(body);
                 }
-                other => self.head().other(&from, other, &out),
+                other => {
+                    // A hub's link for votes and pulses: nobody looks for a parent over it.
+                    self.lookers.borrow_mut().remove(&id);
+                    self.head().other(&from, other, &out);
+                }
             }
         };
         if matches!(end, Broken::Corrupt) {
             self.corrupt.set(self.corrupt.get() + 1);
             self.log(format!("link from {} closed: {end}", from.name));
         }
+        self.lookers.borrow_mut().remove(&id);
         if self.children.borrow_mut().remove(&id).is_some() {
             self.routes.borrow_mut().retain(|_, r| *r != id);
             self.log(format!("{} left", from.name));
@@ -69,6 +75,7 @@
         if self.children.borrow().contains_key(&id) {
             return;
         }
+        self.lookers.borrow_mut().remove(&id);
         self.children.borrow_mut().insert(id, Child { name: from.name.clone(), out: out.clone() });
         if let Some(n) = self.latest() {
             out.send(Body::News((*n).clone()));
