Tests for never-rules: timelines that fail without their guard

Cause: a rule without a test that was seen failing is a hope.

Change: eleven timelines, a column a node.

The election wait needed two nodes that hold grants, since suspicion now lets most grants run out before the election.

--- /dev/null
+++ b/kit/tests/never.rs
@@ -0,0 +1,155 @@
+//! For each thing that must never happen: a timeline that causes the failure it is guarded against, a column a node.
+//! With its guard taken away the checkers must find something; with the guard in place nothing, on every seed.
+
+use kit::sim::{Tricks, drawn, play};
+
+/// Seeds that must be clean with the guard in place.
+const CLEAN: u64 = 6;
+/// Seeds among which the failure must show without it.
+const SHOWN: u64 = 100;
+
+fn guarded(guard: &str, text: &str) {
+    let bare = Tricks::without(guard).expect("a known guard");
+    let shown = (1..=SHOWN).find(|seed| !play(*seed, bare, text).findings.is_empty());
+    assert!(shown.is_some(), "without {guard} nothing was found in {SHOWN} seeds");
+    for seed in (1..=CLEAN).chain(shown) {
+        clean(seed, text);
+    }
+}
+
+fn clean(seed: u64, text: &str) {
+    let scene = play(seed, Tricks::default(), text);
+    assert!(scene.findings.is_empty(), "seed {seed}: {:#?}\n{}", scene.findings, drawn(&scene.town));
+}
+
+/// Two leaders run statements whose answers get lost with the connection.
+#[test]
+fn a_write_takes_effect_once_though_its_answer_is_lost() {
+    guarded("no-resend", "
+        s    g1     g3
+        2    mute   mute
+        2.3  reset  reset
+        5    mute   .
+        5.5  reset  .
+        8    .      mute
+        8.3  .      reset
+        10   .      .
+    ");
+}
+
+/// Leaders run statements and stay silent: nobody is told `not kept`.
+#[test]
+fn nothing_is_kept_after_the_caller_heard_it_was_not() {
+    guarded("no-resend", "
+        s    g1     g3    g2
+        2    mute   mute  mute
+        5    mute   mute  mute
+        10   .      .     .
+    ");
+}
+
+/// Both followers stop receiving, then the leader dies.
+#[test]
+fn a_commit_no_follower_holds_is_not_acknowledged() {
+    guarded("second", "
+        s    g1-b   g1-c   g1
+        2    stall  stall  .
+        4    .      .      dark
+        6    flow   flow   .
+        10   .      .      .
+    ");
+}
+
+/// One follower is behind and the other can't be read when the leader dies.
+#[test]
+fn the_server_made_leader_has_every_acknowledged_commit() {
+    guarded("read-all-but-one", "
+        s    g1-c   g1-b             g1
+        2    stall  .                .
+        4    .      part>h1,h2,h3    dark
+        9    flow   heal>h1,h2,h3    .
+        12   .      .                .
+    ");
+}
+
+/// The leader is lost to all but two nodes, which are then lost to the hubs while their grants still stand.
+#[test]
+fn nobody_is_elected_while_an_older_grant_may_stand() {
+    guarded("wait", "
+        s    g1-a                                 n1                        n4
+        2    part>h1,h2,h3,n2,n3,n5,n6,platform   .                         .
+        2.85 .                                    part>h1,h2,h3,n2,n3,n5,n6 part>h1,h2,h3,n2,n3,n5,n6
+        7    heal>h1,h2,h3,n2,n3,n5,n6,platform   heal>h1,h2,h3,n2,n3,n5,n6 heal>h1,h2,h3,n2,n3,n5,n6
+        8    .                                    .                         .
+    ");
+}
+
+/// A node is cut off together with the leader it knew, and both work on.
+#[test]
+fn a_leader_read_sees_every_acknowledged_commit() {
+    guarded("fence", "
+        s    g1-a                                       n1
+        2    part>h1,h2,h3,n2,n3,n4,n5,n6,platform      .
+        3    .                                          part>h1,h2,h3,n2,n3,n4,n5,n6
+        9    heal>h1,h2,h3,n2,n3,n4,n5,n6,platform      heal>h1,h2,h3,n2,n3,n4,n5,n6
+        11   .                                          .
+    ");
+}
+
+/// Followers fall behind one after the other.
+#[test]
+fn a_lookup_misses_nothing_older_than_its_bound() {
+    guarded("fresh", "
+        s    g2-b   g2-c
+        2    stall  stall
+        6    flow   .
+        9    .      flow
+        11   .      .
+    ");
+}
+
+/// Servers drain, one of them leading, and stay so.
+#[test]
+fn no_work_reaches_a_draining_server_past_the_bound() {
+    guarded("veto", "
+        s    g2-b   g3-a   g1-c
+        1    drain  drain  drain
+        13   .      .      .
+    ");
+}
+
+/// A node hears no hub while operators go on changing doorways.
+#[test]
+fn a_node_that_hears_nothing_stops_serving_old_doorways() {
+    guarded("confirm", "
+        s    n1
+        1    part>h1,h2,h3,n2,n3,n4,n5,n6
+        11   heal>h1,h2,h3,n2,n3,n4,n5,n6
+        13   .
+    ");
+}
+
+/// The leading hub keeps some nodes and loses the other hubs, which go on without it.
+#[test]
+fn a_hub_that_hears_no_majority_stops_leading() {
+    guarded("lease", "
+        s    h1
+        1    part>n2,n5,n3,n6
+        4    part>h2,h3
+        13   heal>h2,h3,n2,n5,n3,n6
+        15   .
+    ");
+}
+
+/// One hub is away while sets are taken; of the two that took them, one goes and the other loses its disk.
+#[test]
+fn a_hub_with_a_lost_disk_does_not_vote_for_an_older_set() {
+    guarded("blank-no-vote", "
+        s    h2            chief  h1     h3
+        2    part>h1,h3    .      .      .
+        6    .             .      dark   wipe
+        6.5  heal>h1,h3    .      .      start
+        12   .             .      start  .
+        14   .             .      .      .
+    ");
+}
