A new leading hub trusts what nodes still hold of the newest line

Cause: after all hubs were restarted within 0.6 s, writes were refused for about a second: the new leading hub gave no leader grant before it had proven each leader anew, for which it first had to hear where the servers are.

Ruled out: the hubs' own election (0.9 s after their start) and shares (renewed from what nodes tell).

Change: a beat that tells of a grant on the newest line of the image counts as that proof, as long as no election was begun in this term: the hub that gave it had proven the leader, and no newer line was written.

--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -21,6 +21,8 @@
     pub proven: bool,
     /// When that was.
     pub since: Duration,
+    /// An election was begun in this term: what nodes still tell of the line before no longer counts.
+    pub closed: bool,
     /// A server that an operator wishes to lead.
     pub wish: Option<String>,
     /// Why the next election is held.
@@ -104,6 +106,7 @@
                 self.edit(&g.name, |s| {
                     s.proven = true;
                     s.granting = true;
+                    s.closed = false;
                     s.since = now;
                 });
                 self.relay.call();
@@ -156,6 +159,21 @@
         }
     }
 
+    /// A node tells of a grant that an earlier leading hub gave: that hub had the proof, and the line is the newest still.
+    pub(super) fn retold(&self, beat: &wire::Beat, image: &Image) {
+        let now = self.env.now();
+        for l in &beat.leads {
+            if image.elect(&l.group).is_none_or(|e| e.line != l.line || e.server != l.server) {
+                continue;
+            }
+            let mut all = self.standings.borrow_mut();
+            let Some(st) = all.get_mut(&l.group) else { continue };
+            if !st.proven && !st.closed {
+                *st = Standing { line: l.line, granting: true, proven: true, since: now, ..st.clone() };
+            }
+        }
+    }
+
     /// The elected server leads on its line, and a second server holds the line's first entry.
     fn proof(&self, g: &Group, e: &Elect) -> bool {
         let seen = self.seen.borrow();
@@ -208,6 +226,7 @@
             self.edit(&g.name, |s| {
                 s.granting = false;
                 s.proven = false;
+                s.closed = true;
             });
             let why = self.standings.borrow().get(&g.name).map(|s| s.why.clone()).unwrap_or_default();
             self.log(Part::Elect, format!("new leader needed for {}: {why}", g.name));
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -195,6 +195,7 @@
         if beat.hub || beat.leaving {
             return Some(self.ret(&beat, Vec::new(), Vec::new()));
         }
+        self.retold(&beat, &image);
         let leads = self.grant_leads(&beat, &image, now);
         let shares = self.grant_shares(&beat, &image, now);
         Some(self.ret(&beat, leads, shares))
