--- a/base/src/boot.rs
+++ b/base/src/boot.rs
@@ -5,6 +5,7 @@
 use crate::{
     seam::{Env, Real},
     settings::{self, Place, Settings},
+    topology,
 };
 
 /// Exit code: the settings or flags are wrong.
@@ -16,6 +17,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Flags {
     pub file: Option<PathBuf>,
+    pub topology: Option<PathBuf>,
     pub name: Option<String>,
     pub area: Option<String>,
     pub http: Option<String>,
@@ -37,6 +39,9 @@
             /// settings file (JSON); flags go before it
             #[argh(option)]
             file: Option<std::path::PathBuf>,
+            /// topology file (GeoJSON); together with --name it gives area, addresses and seeds
+            #[argh(option)]
+            topology: Option<std::path::PathBuf>,
             /// this process's name
             #[argh(option)]
             name: Option<String>,
@@ -70,6 +75,7 @@
             let g: Given = argh::from_env();
             $crate::boot::Flags {
                 file: g.file,
+                topology: g.topology,
                 name: g.name,
                 area: g.area,
                 http: g.http,
@@ -84,8 +90,28 @@
     };
 }
 
-/// Reads the file and lays the flags over it; the error names file and field.
+/// Takes from the topology what neither flags nor file need to say then.
+fn locate(flags: &Flags) -> Result<Flags, String> {
+    let mut flags = flags.clone();
+    let Some(path) = &flags.topology else { return Ok(flags) };
+    let told = |e: String| format!("{}: {e}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| told(e.to_string()))?;
+    let all = topology::read(&text).map_err(told)?;
+    let name = flags.name.as_ref().ok_or("--topology needs --name")?;
+    let me = all.iter().find(|s| s.name == *name).ok_or_else(|| told(format!("no feature has the name {name:?}")))?;
+    flags.area.get_or_insert(me.area.clone());
+    flags.http.get_or_insert(me.http.to_string());
+    flags.peer.get_or_insert(me.peer.to_string());
+    if flags.seed.is_empty() {
+        let hubs = all.iter().filter(|s| s.role == topology::Role::Hub);
+        flags.seed = hubs.map(|s| s.peer.to_string()).collect();
+    }
+    Ok(flags)
+}
+
+/// Reads the file and lays topology and flags over it; the error names file and field.
 pub fn load(flags: &Flags) -> Result<(Settings, Place), String> {
+    let flags = &locate(flags)?;
     let mut set = match &flags.file {
         Some(path) => {
             let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/base/src/lib.rs
+++ b/base/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod seam;
 pub mod settings;
 pub mod strict;
+pub mod topology;
 pub mod tree;
 pub mod words;
 
--- a/base/tests/forms.rs
+++ b/base/tests/forms.rs
@@ -93,3 +93,32 @@
         }
     });
 }
+
+const MAP: &str = r#"{"type":"FeatureCollection","features":[
+  {"type":"Feature","geometry":{"type":"Point","coordinates":[-106.6,52.1]},
+   "properties":{"name":"h1","area":"north","role":"hub","http":"127.0.0.1:1","peer":"127.0.0.1:2"}},
+  {"type":"Feature","geometry":{"type":"Point","coordinates":[-104.6,50.4]},
+   "properties":{"name":"h2","area":"mid","role":"hub","http":"127.0.0.1:3","peer":"127.0.0.1:4"}},
+  {"type":"Feature","geometry":{"type":"Point","coordinates":[-105.7,53.2]},
+   "properties":{"name":"h3","area":"south","role":"hub","http":"127.0.0.1:5","peer":"127.0.0.1:6"}},
+  {"type":"Feature","geometry":{"type":"Point","coordinates":[-105.7,53.2]},
+   "properties":{"name":"n1","area":"south","role":"spoke","http":"127.0.0.1:7","peer":"127.0.0.1:8"}}]}"#;
+
+#[test]
+fn a_topology_is_read_and_its_faults_name_their_place() {
+    use base::topology::{Role, read};
+    let all = read(MAP).unwrap();
+    assert_eq!(all.len(), 4);
+    assert_eq!((all[3].name.as_str(), all[3].role, all[3].area.as_str()), ("n1", Role::Spoke, "south"));
+    let fault = |from: &str, to: &str| read(&MAP.replacen(from, to, 1)).unwrap_err();
+    assert!(fault("\"h2\"", "\"h1\"").contains("feature 1: feature 0 has the name"));
+    assert!(fault("127.0.0.1:5", "here").contains("feature 2: property \"http\""));
+    assert!(fault("\"spoke\"", "\"wheel\"").contains("feature 3: property \"role\""));
+    assert!(fault("\"hub\"", "\"spoke\"").contains("2 features"));
+    assert!(fault("\"area\":\"north\",", "").contains("feature 0: property \"area\""));
+    assert!(fault("{\"type\":\"Point\",\"coordinates\":[-104.6,50.4]}", "null").contains("feature 1: its geometry"));
+    assert!(fault("]}", "").contains("line"), "a text that breaks off names the line");
+    fuzz!().with_iterations(20_000).for_each(|data: &[u8]| {
+        let _ = read(&String::from_utf8_lossy(data));
+    });
+}
--- a/kit/src/main.rs
+++ b/kit/src/main.rs
@@ -26,6 +26,7 @@
     Platform(PlatformArgs),
     Fleet(FleetArgs),
     Sim(SimArgs),
+    Ops(OpsArgs),
 }
 
 #[derive(FromArgs)]
@@ -142,6 +143,22 @@
     events: bool,
 }
 
+#[derive(FromArgs)]
+/// speak to a node as an operator does: set FILE, change FILE, read, empty AREA, take-back AREA, hand-over SERVER,
+/// members, servers, leads, grants; and of that very node: status, lists, decisions NAME, journal, metrics
+#[argh(subcommand, name = "ops")]
+struct OpsArgs {
+    /// HTTP address of any node
+    #[argh(option)]
+    node: SocketAddr,
+    /// what to do
+    #[argh(positional)]
+    word: String,
+    /// its file, area, server or database
+    #[argh(positional)]
+    of: Option<String>,
+}
+
 fn usage(text: String) -> ! {
     eprintln!("{text}");
     exit(64)
@@ -201,6 +218,7 @@
             }
         }
         Tool::Sim(a) => sim(&a),
+        Tool::Ops(a) => ops(&a).await,
         Tool::Platform(a) => {
             let env = boot::world(None);
             let known = |t: &String| {
@@ -302,3 +320,44 @@
         exit(1);
     }
 }
+
+/// Method, path and body of an operator's word.
+fn request(word: &str, of: Option<&str>) -> (&'static str, String, String) {
+    let need = || of.unwrap_or_else(|| usage(format!("{word}: say of what")));
+    let file = || std::fs::read_to_string(need()).unwrap_or_else(|e| usage(format!("{}: {e}", need())));
+    let none = String::new();
+    match word {
+        "set" => ("PUT", "/ops/doorways".into(), file()),
+        "change" => ("PATCH", "/ops/doorways".into(), file()),
+        "read" => ("GET", "/ops/doorways".into(), none),
+        "empty" | "take-back" => ("POST", format!("/ops/areas/{}/{word}", need()), none),
+        "hand-over" => {
+            use nanoserde::SerJson;
+            let body = base::edge::operator::Handover { server: need().into() }.serialize_json();
+            ("POST", "/ops/handover".into(), body)
+        }
+        "members" | "servers" | "leads" | "grants" => ("GET", format!("/ops/{word}"), none),
+        "status" | "lists" | "journal" | "metrics" => ("GET", format!("/{word}"), none),
+        "decisions" => ("GET", format!("/decisions/{}", need()), none),
+        _ => usage(format!("{word:?}: no such word; see kit ops --help")),
+    }
+}
+
+async fn ops(a: &OpsArgs) {
+    let (method, path, body) = request(&a.word, a.of.as_deref());
+    let env = boot::world(None);
+    let span = Duration::from_secs(5);
+    match base::http::Client::once(&env, a.node, method, &path, &[], body.into(), span).await {
+        Ok(out) => {
+            println!("{}", String::from_utf8_lossy(&out.body));
+            if out.code >= 300 {
+                eprintln!("{}", out.code);
+                exit(1);
+            }
+        }
+        Err(e) => {
+            eprintln!("{}: {e}", a.node);
+            exit(2);
+        }
+    }
+}
