A full disk refuses words instead of ending the hub; answers by row; every send has an id

Change: a save that finds no room is not acted on (no vote, no image, no word: 507 no-room); any other failed sync still ends the process. A slot written whose second copy found no room counts as kept. Spokes give an id to sends without one.

--- a/base/src/error.rs
+++ b/base/src/error.rs
@@ -39,6 +39,8 @@
     Unknown,
     #[error("server failed")]
     Failed,
+    #[error("no room on disk")]
+    NoRoom,
 }
 
 /// What became of a write.
@@ -72,7 +74,7 @@
 
 impl Kind {
     /// Every kind, in table order.
-    pub const ALL: [Kind; 17] = [
+    pub const ALL: [Kind; 18] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::NoDatabase,
@@ -90,6 +92,7 @@
         Kind::Order,
         Kind::Unknown,
         Kind::Failed,
+        Kind::NoRoom,
     ];
 
     /// The table from kind to answer.
@@ -112,6 +115,7 @@
             Kind::Order => (409, "order", None),
             Kind::Unknown => (504, "unknown", Some(1)),
             Kind::Failed => (502, "failed", Some(1)),
+            Kind::NoRoom => (507, "no-room", Some(5)),
         };
         Row { code, name, retry }
     }
--- a/hub/src/agree/answer.rs
+++ b/hub/src/agree/answer.rs
@@ -7,7 +7,7 @@
     /// Answers a hub that asks to lead.
     pub(super) async fn on_vote(&self, store: &mut Store, from: &str, v: Vote, out: Option<Out>) {
         let Some(out) = out else { return };
-        let (grant, kept, blank) = {
+        let (mut grant, kept, blank) = {
             let s = self.state.borrow();
             let held = (self.env.now() < s.hold && !v.named) || self.leads();
             let free =
@@ -23,7 +23,7 @@
             if v.term > kept.term {
                 self.follow("");
             }
-            self.save(store, next).await;
+            grant = self.save(store, next).await;
             self.hold();
         }
         let s = self.state.borrow();
@@ -94,8 +94,8 @@
             kept.at_count = p.at_count;
             kept.image = Some(i.clone());
         }
-        if moved || image.is_some() {
-            self.save(store, kept).await;
+        if (moved || image.is_some()) && !self.save(store, kept).await {
+            return false;
         }
         if blank {
             self.state.borrow_mut().blank = false;
--- a/hub/src/agree/campaign.rs
+++ b/hub/src/agree/campaign.rs
@@ -47,8 +47,9 @@
         let mut kept = self.state.borrow().kept.clone();
         kept.term += 1;
         kept.vote = self.who.name.clone();
-        self.save(store, kept).await;
-        self.ask(false, named);
+        if self.save(store, kept).await {
+            self.ask(false, named);
+        }
     }
 
     fn ask(&self, trial: bool, named: bool) {
@@ -111,7 +112,10 @@
             });
             s.kept.image.clone().unwrap_or_default()
         };
-        self.write(store, image).await;
+        if self.write(store, image).await.is_none() {
+            self.follow("");
+            return;
+        }
         let term = self.state.borrow().kept.term;
         self.log(format!("leading in term {term}"));
         self.pulse();
@@ -160,9 +164,10 @@
             self.log(format!("{name} has a new disk; admitting it"));
             image
         };
-        self.write(store, image).await;
-        self.pulse();
-        self.tally();
+        if self.write(store, image).await.is_some() {
+            self.pulse();
+            self.tally();
+        }
     }
 
     /// Forms the very first image, if all three say that they remember nothing and this is the first by name.
@@ -181,7 +186,9 @@
             Kept { term: 1, vote: self.who.name.clone(), image: Some(image), ..s.kept.clone() }
         };
         self.log("all three hubs are blank; forming");
-        self.save(store, kept).await;
+        if !self.save(store, kept).await {
+            return;
+        }
         self.state.borrow_mut().blank = false;
         self.begin(store).await;
     }
--- a/hub/src/agree/desk.rs
+++ b/hub/src/agree/desk.rs
@@ -32,7 +32,10 @@
                     };
                     match made {
                         Ok(image) => {
-                            let count = self.write(&mut store, image).await;
+                            let Some(count) = self.write(&mut store, image).await else {
+                                let _ = done.send(Err(Kind::NoRoom));
+                                continue;
+                            };
                             self.state.borrow_mut().pending.push((count, done));
                             self.pulse();
                             self.tally();
@@ -67,21 +70,23 @@
         self.state.borrow_mut().hold = until;
     }
 
-    /// Saves, then shows, what is to be remembered.
-    pub(super) async fn save(&self, store: &mut Store, kept: Kept) {
-        store.must(&kept).await;
-        self.state.borrow_mut().kept = kept;
+    /// Saves, then shows, what is to be remembered; false when the disk has no room for it.
+    pub(super) async fn save(&self, store: &mut Store, kept: Kept) -> bool {
+        let kept_so = store.keep(&kept).await;
+        if kept_so {
+            self.state.borrow_mut().kept = kept;
+        }
+        kept_so
     }
 
-    /// Writes the next image of this term to the own disk.
-    pub(super) async fn write(&self, store: &mut Store, image: Image) -> u64 {
+    /// Writes the next image of this term to the own disk; `None` when it has no room.
+    pub(super) async fn write(&self, store: &mut Store, image: Image) -> Option<u64> {
         let mut kept = self.state.borrow().kept.clone();
         kept.at_term = kept.term;
         kept.at_count += 1;
         kept.image = Some(image);
         let count = kept.at_count;
-        self.save(store, kept).await;
-        count
+        self.save(store, kept).await.then_some(count)
     }
 
     /// Sends a pulse to each other hub, with the image where it is missing.
--- a/hub/src/store/mod.rs
+++ b/hub/src/store/mod.rs
@@ -141,7 +141,8 @@
     /// Syncs what is to be remembered; only then may it be acted on.
     pub async fn save(&mut self, kept: &Kept) -> io::Result<()> {
         let full = self.log_at + (kept.encoded_len() + HEAD) as u64 > self.most;
-        if self.stale || self.turn == 0 || full {
+        let full = full || self.stale || self.turn == 0;
+        if full {
             let turn = self.turn + 1;
             if self.stale {
                 // Turns begin anew on a disk that can't be read; no record of an older life may be taken for a newer.
@@ -155,16 +156,28 @@
         }
         let record = encode(self.turn, kept);
         let size = record.len() as u64;
-        self.disk.append(LOG, self.log_at, record).await?;
-        self.log_at += size;
+        match self.disk.append(LOG, self.log_at, record).await {
+            Ok(()) => self.log_at += size,
+            // The slot has it already; only its second copy found no room.
+            Err(e) if full && e.kind() == io::ErrorKind::StorageFull => {}
+            Err(e) => return Err(e),
+        }
         Ok(())
     }
 
-    /// Syncs, or ends the process: a failed sync leaves nothing to stand on.
-    pub async fn must(&mut self, kept: &Kept) {
-        if let Err(e) = self.save(kept).await {
-            self.env.die(&format!("sync failed: {e}"));
-            futures::future::pending::<()>().await;
+    /// Syncs; false when the disk has no room, and then what it held before still stands. Any other failed sync ends the
+    /// process, since it leaves nothing to stand on.
+    pub async fn keep(&mut self, kept: &Kept) -> bool {
+        match self.save(kept).await {
+            Ok(()) => true,
+            Err(e) if e.kind() == io::ErrorKind::StorageFull => {
+                self.env.log(Part::Disk, "the disk is full; nothing new is taken");
+                false
+            }
+            Err(e) => {
+                self.env.die(&format!("sync failed: {e}"));
+                futures::future::pending().await
+            }
         }
     }
 }
--- a/kit/src/load/operator.rs
+++ b/kit/src/load/operator.rs
@@ -183,7 +183,7 @@
                 w.conflicts.set(w.conflicts.get() + 1);
                 false
             }
-            Some((400..=499 | 503, _)) => {
+            Some((400..=499 | 503 | 507, _)) => {
                 sent[at].void = true;
                 w.refused.set(w.refused.get() + 1);
                 false
--- a/kit/tests/never.rs
+++ b/kit/tests/never.rs
@@ -288,6 +288,30 @@
     );
 }
 
+/// The leading hub's disk fills up: words are refused, nothing else changes, and words are taken again later.
+#[test]
+fn a_full_disk_refuses_words_and_serves_on() {
+    for seed in 1..=3 {
+        let scene = play(
+            seed,
+            Tricks::default(),
+            "
+            s    h1
+            2    full
+            9    room
+            14   .
+        ",
+        );
+        assert!(scene.findings.is_empty(), "seed {seed}: {:#?}", scene.findings);
+        assert!(scene.town.words.refused.get() > 0, "seed {seed}: no word was refused");
+        assert!(scene.town.up("h1") && !drawn(&scene.town).contains("is down"), "seed {seed}: a process ended");
+        assert!(scene.town.report().share > 0.99, "seed {seed}: {}", scene.town.report().text());
+        let room = scene.town.sim.log().iter().rfind(|l| l.text == "has room on its disk").expect("a line").at;
+        let sent = scene.town.words.sent.borrow();
+        assert!(sent.iter().any(|s| s.acked.is_some_and(|t| t > room)), "seed {seed}: no word was taken later");
+    }
+}
+
 fn busy(seed: u64, build: Build, word: &str) -> Vec<String> {
     let town = Town::new(seed, build);
     town.settle(Duration::from_secs(30)).unwrap();
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -54,6 +54,7 @@
 /// Asked by the executor.
 pub struct Decider {
     pub env: Env,
+    pub name: String,
     pub area: String,
     pub journal: Rc<Journal>,
     pub gauges: Rc<Gauges>,
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -236,6 +236,7 @@
     let door = Door::new(place.most_sessions, place.most_body);
     let decider = Decider {
         env: env.clone(),
+        name: place.name.clone(),
         area: place.area.clone(),
         journal: journal.clone(),
         gauges: gauges.clone(),
--- a/spoke/src/work/session.rs
+++ b/spoke/src/work/session.rs
@@ -123,7 +123,10 @@
 
     /// Answers one request of a session.
     async fn serve(self: &Rc<Self>, store: &Rc<RefCell<Store>>, ask: &Ask) -> Return {
+        let own = format!("{}-{}-{}", self.decider.name, store.borrow().id, self.env.rand());
         let word = match caller::read(ask) {
+            // Each send has an id; one that its caller did not name gets one here.
+            Ok(w) if w.send.is_empty() => caller::Word { send: &own, ..w },
             Ok(w) => w,
             Err(k) => return edge::refuse(k, "", Some(Kept::No)),
         };
