Bounds on a session's state and on sessions, told to whom they meet

Cause: 64 session statements of a megabyte each could be held for one session; a connection over the bound was closed without a word; a value set in a transaction past the bound was silently lost after it.

Change: a session's statements have a common bound of one MiB, checked before the server hears of them, in transactions too; the first 64 connections over the bound are answered 503 full with Retry-After and closed.

Figures: the tests set 64 and 66 values, 900 and 1200 KiB, and open 4001 connections: exactly those over the bound are refused, and the transaction in which one was refused commits.

--- a/base/src/http/server.rs
+++ b/base/src/http/server.rs
@@ -20,7 +20,7 @@
 use crate::{
     bell::Bell,
     edge,
-    error::Kind,
+    error::{Kept, Kind},
     seam::{Env, Listener, Local, Part, Stream},
 };
 
@@ -71,6 +71,20 @@
     }
 }
 
+/// How many connections over the bound are still told so.
+const CROWD: usize = 64;
+
+/// A connection over the bound: one refusal, then it ends.
+struct Crowd;
+
+impl Session for Crowd {
+    fn call(&self, _ask: Ask) -> Local<Return> {
+        let mut out = edge::refuse(Kind::Full, "too many sessions here", Some(Kept::No));
+        out.close = true;
+        Box::pin(async move { out })
+    }
+}
+
 struct Count(Rc<Cell<usize>>);
 
 impl Drop for Count {
@@ -99,13 +113,14 @@
                 continue;
             }
         };
-        if door.open.get() >= door.most {
-            env.log(Part::Door, "too many connections; one was closed");
+        if door.open.get() >= door.most + CROWD {
+            env.log(Part::Door, "too many connections; one was closed unheard");
             continue;
         }
+        let full = door.open.get() >= door.most;
         door.open.set(door.open.get() + 1);
         let count = Count(door.open.clone());
-        let sess = make();
+        let sess = if full { Rc::new(Crowd) } else { make() };
         let door = door.clone();
         env.spawn(async move {
             let _count = count;
--- a/kit/tests/answers.rs
+++ b/kit/tests/answers.rs
@@ -129,3 +129,50 @@
     town.sim.pass(secs(4));
     ask("503 unconfirmed");
 }
+
+/// As many connections as a spoke takes, and one more: that one is told when to come back.
+#[test]
+fn a_session_too_many_is_refused_and_the_others_are_not() {
+    let town = Town::new(4, Build::default());
+    town.settle(secs(30)).unwrap();
+    town.sim.pass(secs(2));
+    let (env, addr) = (town.desk(), town.layout.spokes[0].http);
+    let out = town.at_desk(secs(120), async move {
+        let mut all = Vec::new();
+        for _ in 0..4000 {
+            all.push(Client::connect(&env, addr, secs(1), 1 << 20).await.unwrap());
+        }
+        env.sleep(secs(1)).await;
+        let mut more = Client::connect(&env, addr, secs(1), 1 << 20).await.unwrap();
+        let body = Bytes::from(add("k"));
+        let late = more.call("POST", "/db/pay/write", &[], body.clone(), secs(5)).await.unwrap();
+        let early = all[0].call("POST", "/db/pay/write", &[], body, secs(5)).await.unwrap();
+        (late, early)
+    });
+    let (late, early) = out.expect("answers");
+    assert_eq!((name(&late).as_str(), late.close, early.code), ("503 full", true, 200));
+    assert!(late.header("retry-after").is_some());
+}
+
+/// Values beyond what a session may keep are refused, by count and by size.
+#[test]
+fn session_state_is_bounded() {
+    let town = Town::new(5, Build::default());
+    town.settle(secs(30)).unwrap();
+    town.sim.pass(secs(2));
+    let set = |size: usize| format!("{{\"op\":\"set\",\"key\":\"k\",\"val\":\"{}\"}}", "x".repeat(size)).into_bytes();
+    let many: Vec<_> = (0..66).map(|_| ("POST", "/db/pay/set", set(1))).collect();
+    let out = say(&town, &many);
+    assert!(out[..64].iter().all(|r| r.code == 200) && out[64..].iter().all(|r| name(r) == "503 full"));
+    let large: Vec<_> = (0..4).map(|_| ("POST", "/db/pay/set", set(300 << 10))).collect();
+    let names: Vec<String> = say(&town, &large).iter().map(name).collect();
+    assert_eq!(names, ["200", "200", "200", "503 full"]);
+    // Refused inside a transaction too, before the server hears of it; the transaction goes on.
+    let mut lines = large[..3].to_vec();
+    lines.push(("POST", "/db/pay/begin", Vec::new()));
+    lines.push(("POST", "/db/pay/set", set(300 << 10)));
+    lines.push(("POST", "/db/pay/write", add("in")));
+    lines.push(("POST", "/db/pay/commit", Vec::new()));
+    let names: Vec<String> = say(&town, &lines).iter().map(name).collect();
+    assert_eq!(names[3..], ["200", "503 full", "200", "200"]);
+}
--- a/spoke/src/work/session.rs
+++ b/spoke/src/work/session.rs
@@ -22,6 +22,8 @@
 
 /// How many session statements one session may have for one database.
 pub const STATES: usize = 64;
+/// How many bytes they may have together, over all databases.
+const STATE_BYTES: usize = 1 << 20;
 
 /// An open transaction.
 pub struct Trans {
@@ -49,6 +51,14 @@
     pub busy: bool,
 }
 
+impl Store {
+    /// Whether the session may set another value or name for a database.
+    pub fn room(&self, name: &str, more: usize) -> bool {
+        let bytes: usize = self.states.values().flatten().map(|s| s.1.len()).sum();
+        self.states.get(name).map_or(0, Vec::len) < STATES && bytes + more <= STATE_BYTES
+    }
+}
+
 /// One caller's connection: its session.
 pub struct Caller {
     works: Rc<Works>,
@@ -189,7 +199,7 @@
     /// Adds a statement to the session's state once a server has taken it.
     async fn state(&self, store: &RefCell<Store>, task: &Task<'_>) -> Return {
         let gate = task.gate;
-        if store.borrow().states.get(&gate.name).map_or(0, Vec::len) >= STATES {
+        if !store.borrow().room(&gate.name, task.body.len()) {
             return edge::refuse(Kind::Full, "the session has too many values and prepared names", Some(Kept::No));
         }
         let any = Gate { promise: Promise::Any, ..gate.clone() };
--- a/spoke/src/work/trans.rs
+++ b/spoke/src/work/trans.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Cut, Task, Works,
-    session::{Ended, STATES, Store, Trans},
+    session::{Ended, Store, Trans},
     write::line,
 };
 use crate::pool::Dress;
@@ -95,6 +95,10 @@
         if word.verb == Verb::Begin {
             return put(t, no(Kind::Order, "a transaction is open"));
         }
+        let sets = matches!(word.verb, Verb::Set | Verb::Prepare);
+        if sets && !store.borrow().room(&t.name, body.len()) {
+            return put(t, no(Kind::Full, "the session has too many values and prepared names"));
+        }
         if word.verb == Verb::Rollback {
             let target = t.target.server.clone();
             self.roll_back(t).await;
@@ -130,17 +134,13 @@
             self.env.spawn(async move { me.roll_back(t).await }).detach();
             return no(Kind::Lost, "the server failed; nothing of the transaction is kept");
         }
-        if matches!(word.verb, Verb::Set | Verb::Prepare) && out.code < 300 {
+        if sets && out.code < 300 {
             let (id, count) = {
                 let s = store.borrow();
                 (s.id, s.states.get(&t.name).map_or(0, Vec::len))
             };
-            if count >= STATES {
-                t.slot.spoil();
-            } else {
-                self.keep_state(store, &t.name, word.verb, body);
-                t.slot.wore(Dress { session: id, name: t.name.clone(), count: count + 1 });
-            }
+            self.keep_state(store, &t.name, word.verb, body);
+            t.slot.wore(Dress { session: id, name: t.name.clone(), count: count + 1 });
         }
         let ret = self.hand_on(out, &t.target.server, store.borrow().token);
         put(t, ret)
