A changed settings file no longer ends the process

Cause: the signal library puts the default action back when a listener ends. Between two waits, and at the start before the first one, SIGHUP therefore ended the process instead of reloading. Found by a test that reloads the real program.

Change: listeners are in place before a process serves; the one for SIGTERM stays until it fires; a second one for SIGHUP is kept for good, so that the default action never comes back.

Figures: the test sends a bad file, a good file and SIGTERM in one run: refused by field, taken, ended with code 0.

--- a/base/src/boot.rs
+++ b/base/src/boot.rs
@@ -2,8 +2,10 @@
 
 use std::{path::PathBuf, process::exit, rc::Rc};
 
+use futures::future::{Either, select};
+
 use crate::{
-    seam::{Env, Part, Real},
+    seam::{Env, Local, Part, Real},
     settings::{self, Place, Settings},
     topology,
 };
@@ -208,47 +210,63 @@
     exit(CANT_START)
 }
 
-/// What a process was told by signal.
-enum Call {
-    End,
-    Reload,
+/// The signals a process listens to, from before it starts on.
+pub struct Signals {
+    end: Local<()>,
+    stop: Local<()>,
+    reload: Local<()>,
 }
 
-/// Waits for the next signal.
-async fn signal() -> Call {
-    use compio::signal::unix::signal;
-    use futures::FutureExt;
-    let (term, int, hup) = (signal(15).fuse(), signal(2).fuse(), signal(1).fuse());
-    futures::pin_mut!(term, int, hup);
-    futures::select_biased! {
-        _ = term => Call::End,
-        _ = int => Call::End,
-        _ = hup => Call::Reload,
-    }
-}
+const TERM: i32 = 15;
+const INT: i32 = 2;
+const HUP: i32 = 1;
 
-/// Waits until the process is asked to end.
-pub async fn end() {
-    while !matches!(signal().await, Call::End) {}
+/// A listener that is in place when this returns.
+async fn listen(sig: i32) -> Local<()> {
+    let mut wait: Local<()> = Box::pin(async move {
+        let _ = compio::signal::unix::signal(sig).await;
+    });
+    let _ = futures::poll!(&mut wait);
+    wait
 }
 
-/// Serves until asked to end; on SIGHUP reads the settings again and hands the good ones to `take`, which says what of
-/// them is in force now.
-pub async fn until_end(env: &Env, flags: &Flags, take: impl Fn(&Place) -> &'static str) {
-    while matches!(signal().await, Call::Reload) {
-        match load(flags) {
-            Ok((set, place)) => {
-                log(&set.log);
-                let what = take(&place);
-                env.log(
-                    Part::Main,
-                    format!(
-                        "settings were read again; {what} and log level are in force, the rest from the next start"
-                    ),
-                );
+impl Signals {
+    /// Listens from now on, so that no signal ends the process by default.
+    pub async fn new() -> Self {
+        // While a reload is carried out its own listener is gone; this one keeps the default away for good.
+        std::mem::forget(listen(HUP).await);
+        Self { end: listen(TERM).await, stop: listen(INT).await, reload: listen(HUP).await }
+    }
+
+    /// Whether to end (or else to read the settings again).
+    async fn next(&mut self) -> bool {
+        let ends = select(select(&mut self.end, &mut self.stop), &mut self.reload).await;
+        if matches!(ends, Either::Left(_)) {
+            return true;
+        }
+        self.reload = listen(HUP).await;
+        false
+    }
+
+    /// Waits until the process is asked to end.
+    pub async fn end(mut self) {
+        while !self.next().await {}
+    }
+
+    /// Serves until asked to end; on SIGHUP reads the settings again and hands the good ones to `take`, which says what
+    /// of them is in force now.
+    pub async fn until_end(mut self, env: &Env, flags: &Flags, take: impl Fn(&Place) -> &'static str) {
+        while !self.next().await {
+            match load(flags) {
+                Ok((set, place)) => {
+                    log(&set.log);
+                    let what = take(&place);
+                    let text = format!("settings were read again; {what} and log level are in force");
+                    env.log(Part::Main, text + ", the rest from the next start");
+                }
+                Err(e) => env.log(Part::Main, format!("the changed settings are refused, the old ones stay: {e}")),
             }
-            Err(e) => env.log(Part::Main, format!("the changed settings are refused, the old ones stay: {e}")),
         }
+        env.log(Part::Main, "going down");
     }
-    env.log(Part::Main, "going down");
 }
--- a/hub/src/main.rs
+++ b/hub/src/main.rs
@@ -9,6 +9,7 @@
     let flags = flags();
     let (set, place) = boot::must_load(&flags, true);
     boot::log(&set.log);
+    let signals = boot::Signals::new().await;
     let env = boot::world(set.data.as_deref());
     let hub = match hub::run(&env, &place, Default::default()).await {
         Ok(h) => h,
@@ -18,7 +19,7 @@
         hub.platform(place.platform);
         "platform"
     };
-    boot::until_end(&env, &flags, take).await;
+    signals.until_end(&env, &flags, take).await;
     hub.leave().await;
     env.sleep(place.bounds.pulse()).await;
 }
--- a/kit/src/main.rs
+++ b/kit/src/main.rs
@@ -213,7 +213,7 @@
                 drain: Duration::from_secs(7),
             };
             match Server::start(&env, setup).await {
-                Ok(_s) => boot::end().await,
+                Ok(_s) => boot::Signals::new().await.end().await,
                 Err(e) => boot::fail(&e.to_string()),
             }
         }
@@ -228,7 +228,7 @@
                 Known { name: name.into(), group: group.into(), addr }
             };
             match Platform::start(&env, a.addr, a.server.iter().map(known).collect()).await {
-                Ok(_p) => boot::end().await,
+                Ok(_p) => boot::Signals::new().await.end().await,
                 Err(e) => boot::fail(&e.to_string()),
             }
         }
--- a/spoke/src/main.rs
+++ b/spoke/src/main.rs
@@ -9,6 +9,7 @@
     let flags = flags();
     let (set, place) = boot::must_load(&flags, false);
     boot::log(&set.log);
+    let signals = boot::Signals::new().await;
     let env = boot::world(None);
     let spoke = match spoke::run(&env, &place, Default::default()).await {
         Ok(s) => s,
@@ -18,6 +19,6 @@
         spoke.policy(&place.policy);
         "policy"
     };
-    boot::until_end(&env, &flags, take).await;
+    signals.until_end(&env, &flags, take).await;
     spoke.leave().await;
 }
--- a/spoke/tests/flags.rs
+++ b/spoke/tests/flags.rs
@@ -67,3 +67,44 @@
     assert!(text.contains("s.json") && text.contains("colour"), "{text}");
     std::fs::remove_dir_all(&dir).unwrap();
 }
+
+/// A changed file is read on SIGHUP: a bad one is refused and told, a good one taken; SIGTERM ends the process well.
+#[test]
+fn a_changed_file_is_taken_or_refused_while_the_process_goes_on() {
+    use rustix::process::{Pid, Signal, kill_process};
+    use std::io::{BufRead, BufReader};
+    let dir = std::env::temp_dir().join(format!("portspoke-reload-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("s.json");
+    let port = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (http, peer) = (port(), port());
+    let write = |more: &str| {
+        let text = format!(
+            r#"{{"name":"n1","area":"x","http":"{http}","peer":"{peer}",
+            "seeds":["127.0.0.1:1","127.0.0.1:2","127.0.0.1:3"]{more}}}"#
+        );
+        std::fs::write(&file, text).unwrap();
+    };
+    write("");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_spoke"))
+        .arg("--file")
+        .arg(&file)
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let pid = Pid::from_raw(child.id() as i32).unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let mut until = |part: &str| lines.by_ref().map(|l| l.unwrap()).find(|l| l.contains(part)).expect("the line comes");
+    until("serves");
+    write(r#","policy":{"max_lag":0}"#);
+    kill_process(pid, Signal::HUP).unwrap();
+    assert!(until("refused").contains("policy.max_lag"));
+    write(r#","policy":{"max_lag":20}"#);
+    kill_process(pid, Signal::HUP).unwrap();
+    until("the policy was changed");
+    until("settings were read again");
+    kill_process(pid, Signal::TERM).unwrap();
+    until("going down");
+    assert!(child.wait().unwrap().success());
+    std::fs::remove_dir_all(&dir).unwrap();
+}
