A leading hub without room names a successor

Cause: a leading hub with a full disk went on leading, and could write down no election and no area taken back.

Change: when a word finds no room on its own disk, the hub refuses it and names a successor that holds the same image.

--- a/hub/src/agree/desk.rs
+++ b/hub/src/agree/desk.rs
@@ -34,6 +34,8 @@
                         Ok(image) => {
                             let Some(count) = self.write(&mut store, image).await else {
                                 let _ = done.send(Err(Kind::NoRoom));
+                                // One that can take nothing new had better not lead.
+                                self.name_successor();
                                 continue;
                             };
                             self.state.borrow_mut().pending.push((count, done));
@@ -47,6 +49,7 @@
                 }
                 Job::Tick => self.tick(&mut store).await,
                 Job::Leave { done } => {
+                    self.state.borrow_mut().leaving = true;
                     self.name_successor();
                     let _ = done.send(());
                 }
@@ -164,8 +167,7 @@
 
     fn name_successor(&self) {
         let (next, term) = {
-            let mut s = self.state.borrow_mut();
-            s.leaving = true;
+            let s = self.state.borrow();
             if s.role != Role::Leading {
                 return;
             }
