One way to pass an outer request up the tree

Cause: both doors held the same code that hands a request to the leading hub and turns its word, or its silence, into an answer.

Change: `Relay::pass` does it for both; each door still says which requests may simply be made again (a hub counts reads, a spoke also reports). The doors no longer carry the bounds. No behaviour is changed.

Ruled out as twins worth joining: the flag tests of the two programs, which cannot share a binary's path.

--- a/hub/src/door.rs
+++ b/hub/src/door.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 
 use base::{
-    Bounds, Kind,
+    Kind,
     edge::refuse,
     http::{Ask, Return, Session},
     seam::Local,
 };
-use wire::{AskReturn, relay::Relay};
+use wire::relay::Relay;
 
 use crate::agree::Agree;
 
@@ -16,41 +16,24 @@
 pub struct Desk {
     pub relay: Rc<Relay>,
     pub agree: Rc<Agree>,
-    pub bounds: Bounds,
 }
 
 impl Session for Desk {
     fn call(&self, ask: Ask) -> Local<Return> {
-        let (relay, agree, bounds) = (self.relay.clone(), self.agree.clone(), self.bounds.clone());
+        let (relay, agree) = (self.relay.clone(), self.agree.clone());
         Box::pin(async move {
             match ask.parts()[..] {
                 ["status"] => status(&relay, &agree),
                 ["db", ..] => refuse(Kind::NoPath, "callers are served by spokes", None),
-                _ => pass(&relay, &bounds, ask).await,
+                _ => {
+                    let read = ask.method == hyper::Method::GET;
+                    relay.pass(ask, read).await
+                }
             }
         })
     }
 }
 
-/// Hands a request to the leading hub and brings back its answer.
-pub async fn pass(relay: &Relay, bounds: &Bounds, ask: Ask) -> Return {
-    let read = ask.method == hyper::Method::GET;
-    let out = relay.ask(ask.method.as_str(), &ask.path, ask.body, bounds.call() * 3).await;
-    match out {
-        Some(r) => back(r),
-        None if read => refuse(Kind::Unconfirmed, "no answer from the leading hub", None),
-        None => refuse(Kind::Unknown, "no answer from the leading hub; read back before sending it again", None),
-    }
-}
-
-fn back(r: AskReturn) -> Return {
-    let mut out = Return::new(r.code as u16, r.body).with("content-type", "application/json");
-    if r.retry > 0 {
-        out = out.with("retry-after", r.retry);
-    }
-    out
-}
-
 fn status(relay: &Relay, agree: &Agree) -> Return {
     let (parent, depth) = relay.place();
     let (blank, _) = agree.blank();
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -117,8 +117,8 @@
             self.urgent.set(self.env.now() + self.bounds.gone());
             self.name(&g.name, e).await;
             let wait = self.bell.until(|| self.proof(g, e).then_some(()));
-            let since_long = self.bounds.gone();
-            if self.env.within(since_long, wait).await.is_err() && self.quiet(&e.server, self.env.now()) > since_long {
+            let most = self.bounds.gone();
+            if self.env.within(most, wait).await.is_err() && self.quiet(&e.server, self.env.now()) > most {
                 self.edit(&g.name, |s| s.why = format!("{} did not take the lead", e.server));
                 self.elect(g, Some(e), false).await;
             }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -141,11 +141,10 @@
     let d = duty.clone();
     tree.child("duty", move || d.clone().run());
     let (e, d) = (env.clone(), door.clone());
-    let (r, a, b) = (relay.clone(), agree.clone(), place.bounds.clone());
+    let (r, a) = (relay.clone(), agree.clone());
     tree.child("door", move || {
-        let (r, a, b) = (r.clone(), a.clone(), b.clone());
-        let make =
-            Rc::new(move || Rc::new(Desk { relay: r.clone(), agree: a.clone(), bounds: b.clone() }) as Rc<dyn Session>);
+        let (r, a) = (r.clone(), a.clone());
+        let make = Rc::new(move || Rc::new(Desk { relay: r.clone(), agree: a.clone() }) as Rc<dyn Session>);
         http::serve(e.clone(), sock.clone(), d.clone(), make)
     });
     env.log(Part::Main, format!("hub {} in area {} serves {}", who.name, who.area, place.http));
--- a/spoke/src/door/mod.rs
+++ b/spoke/src/door/mod.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use base::{
-    Bounds, Kind,
+    Kind,
     edge::refuse,
     http::{Ask, Return, Session},
     seam::Local,
@@ -20,7 +20,6 @@
 pub struct Guest {
     pub caller: Caller,
     pub relay: Rc<Relay>,
-    pub bounds: Bounds,
     pub show: Rc<Show>,
 }
 
@@ -35,30 +34,16 @@
         {
             return Box::pin(async move { out });
         }
-        let (relay, bounds) = (self.relay.clone(), self.bounds.clone());
-        Box::pin(async move { pass(&relay, &bounds, ask).await })
+        if !matches!(ask.parts()[..], ["ops", ..] | ["report"]) {
+            return Box::pin(async { refuse(Kind::NoPath, "", None) });
+        }
+        let relay = self.relay.clone();
+        // A report that may or may not have come through is simply made again.
+        let read = ask.method == hyper::Method::GET || ask.path == "/report";
+        Box::pin(async move { relay.pass(ask, read).await })
     }
 
     fn free(&self) -> bool {
         self.caller.free()
     }
 }
-
-/// Hands a request up the tree to the leading hub and brings back its answer.
-async fn pass(relay: &Relay, bounds: &Bounds, ask: Ask) -> Return {
-    if !matches!(ask.parts()[..], ["ops", ..] | ["report"]) {
-        return refuse(Kind::NoPath, "", None);
-    }
-    let read = ask.method == hyper::Method::GET || ask.path == "/report";
-    match relay.ask(ask.method.as_str(), &ask.path, ask.body, bounds.call() * 3).await {
-        Some(r) => {
-            let mut out = Return::new(r.code as u16, r.body).with("content-type", "application/json");
-            if r.retry > 0 {
-                out = out.with("retry-after", r.retry);
-            }
-            out
-        }
-        None if read => refuse(Kind::Unconfirmed, "no answer from the leading hub", None),
-        None => refuse(Kind::Unknown, "no answer from the leading hub; read back before sending it again", None),
-    }
-}
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -263,12 +263,11 @@
     let g = gauges.clone();
     tree.child("evaluations", move || g.clone().evaluations());
     let show = Rc::new(Show { works: works.clone(), relay: relay.clone() });
-    let (e, d, w, r, b) = (env.clone(), door.clone(), works.clone(), relay.clone(), bounds.clone());
+    let (e, d, w, r) = (env.clone(), door.clone(), works.clone(), relay.clone());
     tree.child("door", move || {
-        let (w, r, b, s) = (w.clone(), r.clone(), b.clone(), show.clone());
+        let (w, r, s) = (w.clone(), r.clone(), show.clone());
         let make = Rc::new(move || {
-            Rc::new(Guest { caller: Caller::new(&w), relay: r.clone(), bounds: b.clone(), show: s.clone() })
-                as Rc<dyn Session>
+            Rc::new(Guest { caller: Caller::new(&w), relay: r.clone(), show: s.clone() }) as Rc<dyn Session>
         });
         http::serve(e.clone(), sock.clone(), d.clone(), make)
     });
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -12,8 +12,10 @@
 };
 
 use base::{
-    Bounds,
+    Bounds, Kind,
     bell::Bell,
+    edge::refuse,
+    http,
     seam::{Env, Listener, Part},
     tree::Tree,
 };
@@ -301,6 +303,20 @@
         out.ok()?.ok()
     }
 
+    /// Answers an outer request by what the leading hub says; without its word a `read` is refused, and of anything else
+    /// the outcome is unknown.
+    pub async fn pass(&self, ask: http::Ask, read: bool) -> http::Return {
+        let span = self.bounds().call() * 3;
+        match self.ask(ask.method.as_str(), &ask.path, ask.body, span).await {
+            Some(r) => {
+                let out = http::Return::new(r.code as u16, r.body).with("content-type", "application/json");
+                if r.retry > 0 { out.with("retry-after", r.retry) } else { out }
+            }
+            None if read => refuse(Kind::Unconfirmed, "no answer from the leading hub", None),
+            None => refuse(Kind::Unknown, "no answer from the leading hub; read back before sending it again", None),
+        }
+    }
+
     fn send_beat(&self, leaving: bool) {
         let Some(out) = self.parent.borrow().as_ref().map(|p| p.out.clone()) else { return };
         let nonce = self.next();
