A log that lost something counts for nothing until it has caught up

Cause: a server that came back empty or with an older copy was still taken at the furthest place it ever showed. Sights only grew, and an election counted any reading as one of "all but one".

Change: servers show the identity of their log. The image names, for each group, the logs that quorums are counted from; one that shows another identity or an earlier place is void until it has reached a head of the leader read since. It confirms no commit, is not counted in an election (refused, with the reason in /ops/leads), and no read rests on a place it showed before. A leader whose log lost something is replaced. The platform names a leader with its log. A commit is acknowledged only while the node is confirmed. Lag compares places of one line.

Ruled out: telling by place alone (a new leading hub remembers none); dropping a void log from the count (all but one would shrink with it).

Before: without the roll the timeline loses acknowledged commits, without going back lookups miss them. The town waits for shares before it is called ready; a test had counted that start as failures.

--- a/base/src/edge/backend.rs
+++ b/base/src/edge/backend.rs
@@ -14,6 +14,8 @@
 pub const DRAINING: &str = "x-draining";
 /// Header of an answer: `no` when the server did not take the statement.
 pub const TAKEN: &str = "x-taken";
+/// Header of an answer: the identity of the server's log, a number that a log begun anew does not share.
+pub const LOG: &str = "x-log";
 /// Header of a request: the line on which the sender believes the server leads.
 pub const LINE: &str = "x-line";
 /// The path that wipes a connection's session state and any open transaction.
@@ -33,6 +35,8 @@
         pub cold: f64,
         pub line: u64,
         pub index: u64,
+        /// The identity of its log.
+        pub log: u64 = 0,
     }
 }
 
@@ -53,6 +57,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Signs {
     pub place: Option<Position>,
+    /// The identity of the log, 0 where none is shown.
+    pub log: u64,
     pub leads: bool,
     pub draining: bool,
     /// The server shows that it did not take the statement.
@@ -67,6 +73,7 @@
 pub fn signs(out: &Return) -> Signs {
     Signs {
         place: out.header(POSITION).and_then(|p| p.parse().ok()),
+        log: out.header(LOG).and_then(|l| l.parse().ok()).unwrap_or(0),
         leads: out.header(LEADS) == Some("1"),
         draining: out.header(DRAINING) == Some("1"),
         untaken: out.header(TAKEN) == Some("no"),
@@ -81,6 +88,8 @@
         pub group: String,
         pub server: String,
         pub line: u64,
+        /// The log it is named for: one begun anew must not lead.
+        pub log: u64 = 0,
     }
 }
 
@@ -88,7 +97,7 @@
 pub const LEAD: &str = "/lead";
 
 /// The body of the call that names a new leader.
-pub fn naming(group: &str, server: &str, line: u64) -> Bytes {
+pub fn naming(group: &str, server: &str, line: u64, log: u64) -> Bytes {
     use nanoserde::SerJson;
-    Naming { group: group.into(), server: server.into(), line }.serialize_json().into()
+    Naming { group: group.into(), server: server.into(), line, log }.serialize_json().into()
 }
--- a/base/src/edge/operator.rs
+++ b/base/src/edge/operator.rs
@@ -71,11 +71,13 @@
 }
 
 strict! {
-    /// A change to a few doorways, against the sequence named in `after`.
+    /// A change to a few doorways and groups, against the sequence named in `after`.
     pub struct Change {
         pub after: u64,
         pub put: Vec<Doorway> = Vec::new(),
         pub drop: Vec<String> = Vec::new(),
+        /// Groups as they are to be from now on; one server more or less at a time.
+        pub groups: Vec<Group> = Vec::new(),
         pub limits: Option<Limits> = None,
     }
 }
--- a/base/src/words.rs
+++ b/base/src/words.rs
@@ -24,6 +24,15 @@
     }
 }
 
+impl Position {
+    /// Whether a log that showed this place and now shows `now` lost something that may count. What lay behind the
+    /// place `from` of the newest election is void where that election is of a later line.
+    pub fn lost(self, now: Position, line: u64, from: Position) -> bool {
+        let floor = if line > self.line { self.min(from) } else { self };
+        now < floor
+    }
+}
+
 /// One step of a small seeded generator (splitmix).
 pub fn step(seed: &Cell<u64>) -> u64 {
     let s = seed.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -25,6 +25,8 @@
     pub closed: bool,
     /// A server that an operator wishes to lead.
     pub wish: Option<String>,
+    /// Until when the leader is to be relieved, as an operator takes it out.
+    pub relieve: Option<Duration>,
     /// Why the next election is held.
     pub why: String,
 }
@@ -33,6 +35,7 @@
 struct Runner {
     name: String,
     place: Position,
+    log: u64,
     fit: bool,
     cold: u32,
 }
@@ -77,6 +80,21 @@
         Ok(())
     }
 
+    /// Before a leader is taken out of its group it hands over; false when nobody could take over in time.
+    pub async fn relieve(&self, group: &str, server: &str) -> bool {
+        let end = self.env.now() + self.bounds.call() * 2;
+        self.edit(group, |s| s.relieve = Some(end));
+        let wait = self.bell.until(|| {
+            let image = self.agree.image()?;
+            let other = image.elect(group).is_none_or(|e| e.server != server);
+            let proven = self.standings.borrow().get(group).is_some_and(|s| s.proven);
+            (other && proven).then_some(())
+        });
+        let out = self.env.within(end.saturating_sub(self.env.now()), wait).await.is_ok();
+        self.edit(group, |s| s.relieve = None);
+        out
+    }
+
     async fn tend(&self, group: String) {
         loop {
             self.env.sleep(self.bounds.pulse() / 2).await;
@@ -94,6 +112,14 @@
     }
 
     async fn mind(&self, g: &Group, e: &Elect, st: Standing, image: &Image) {
+        let none = image.voters(g).next().is_none();
+        if none || self.leader_lost(image, &e.server) {
+            let why =
+                if none { "no log of it counts yet".into() } else { format!("{} lost part of its log", e.server) };
+            self.edit(&g.name, |s| s.why = why);
+            self.elect(g, Some(e), false).await;
+            return;
+        }
         let proven = st.proven && st.line == e.line;
         self.edit(&g.name, |s| {
             s.line = e.line;
@@ -115,7 +141,8 @@
             }
             self.edit(&g.name, |s| s.granting = false);
             self.urgent.set(self.env.now() + self.bounds.gone());
-            self.name(&g.name, e).await;
+            let log = image.log(&e.server).map_or(0, |l| l.born);
+            self.name(&g.name, e, log).await;
             let wait = self.bell.until(|| self.proof(g, e).then_some(()));
             let most = self.bounds.gone();
             if self.env.within(most, wait).await.is_err() && self.quiet(&e.server, self.env.now()) > most {
@@ -136,6 +163,7 @@
             return;
         }
         let away = leader.is_some_and(|t| t.draining || image.emptied.contains(&t.area));
+        let away = away || g.leavers.contains(&e.server) || st.relieve.is_some_and(|t| now < t);
         let wish = st.wish.filter(|w| *w != e.server && g.servers.contains(w));
         if !away && wish.is_none() {
             // A leader that half has lost sight of gets no new grants, so that they run out while it is watched.
@@ -178,9 +206,10 @@
     fn proof(&self, g: &Group, e: &Elect) -> bool {
         let seen = self.seen.borrow();
         let leads = seen.get(&e.server).is_some_and(|s| s.leads && s.place.line == e.line);
-        let second = g.servers.len() == 1
-            || g.servers.iter().any(|s| *s != e.server && seen.get(s).is_some_and(|x| x.place.line == e.line));
-        leads && second
+        let Some(image) = self.agree.image() else { return false };
+        let alone = image.voters(g).count() <= 1 && g.servers.len() == 1;
+        let follows = |s: &String| seen.get(s).is_some_and(|x| x.place.line == e.line) && self.counts(&image, s);
+        leads && self.counts(&image, &e.server) && (alone || g.all().any(|s| *s != e.server && follows(s)))
     }
 
     /// For how long at least half of those who look at a server have had no answer from it. Where nobody listens at
@@ -209,14 +238,16 @@
         let row = |s: &String| {
             let x = seen.get(s)?;
             let t = servers.get(s)?;
-            (x.asked >= since).then(|| Runner {
+            let first = image.voters(g).next().is_none();
+            (x.asked >= since && (first || self.counts(image, s))).then(|| Runner {
                 name: s.clone(),
                 place: x.place,
-                fit: !t.draining && !t.gone && !image.emptied.contains(&t.area),
+                log: x.log,
+                fit: !t.draining && !t.gone && !image.emptied.contains(&t.area) && !g.leavers.contains(s),
                 cold: (t.cold * 20.0) as u32,
             })
         };
-        g.servers.iter().filter_map(row).collect()
+        g.all().filter_map(row).collect()
     }
 
     /// Chooses a leader once no older grant can stand; `planned` lets the present one be caught up with first.
@@ -242,8 +273,6 @@
         let since = self.env.now();
         self.urgent.set(since + self.bounds.gone());
         self.bell.ring();
-        let need = g.servers.len().saturating_sub(1).max(1);
-        let need = if self.tricks.read_one { 1 } else { need };
         let limit = self.bounds.leave();
         let chosen = loop {
             let _ = self.env.within(self.bounds.pulse() / 4, self.bell.after(self.bell.count())).await;
@@ -251,8 +280,13 @@
                 return;
             }
             let Some(image) = self.agree.image() else { return };
+            let Some(g) = &image.groups.iter().find(|x| x.name == g.name).cloned() else { return };
+            let need = if self.tricks.read_one { 1 } else { self.need(&image, g) };
             let rows = self.runners(g, &image, since);
             if rows.len() < need {
+                let why =
+                    format!("{} of {need} logs that count can be read: {}", rows.len(), self.missing(&image, g, since));
+                self.edit(&g.name, |s| s.why = why);
                 if planned && self.env.now() - start > limit {
                     return;
                 }
@@ -260,7 +294,7 @@
             }
             // Give the last one a moment to answer too, so that a tie is broken well; not if it is the one missed.
             let gone = |s: &String| self.quiet(s, self.env.now()) > self.bounds.gone() / 2;
-            let absent = g.servers.iter().filter(|s| !rows.iter().any(|r| r.name == **s)).any(|s| !gone(s));
+            let absent = g.all().filter(|s| !rows.iter().any(|r| r.name == **s)).any(|s| !gone(s));
             if absent && self.env.now() - since < self.bounds.sample() * 2 {
                 continue;
             }
@@ -289,10 +323,17 @@
                 continue;
             }
             let line = rows.iter().map(|r| r.place.line).max().unwrap_or(0);
-            break (best.name.clone(), line.max(old.map_or(0, |o| o.line)) + 1);
+            let elect = Elect {
+                group: g.name.clone(),
+                line: line.max(old.map_or(0, |o| o.line)) + 1,
+                server: best.name.clone(),
+                from_line: best.place.line,
+                from_index: best.place.index,
+            };
+            break (elect, best.log, self.first_logs(&image, g, since));
         };
-        let (server, line) = chosen;
-        let elect = Elect { group: g.name.clone(), line, server: server.clone() };
+        let (elect, log, first) = chosen;
+        let (server, line) = (&elect.server, elect.line);
         self.log(Part::Elect, format!("electing {server} for {} on line {line}", g.name));
         let before = old.map_or(0, |o| o.line);
         let put = elect.clone();
@@ -305,22 +346,24 @@
                 let mut image = image.clone();
                 image.elects.retain(|e| e.group != put.group);
                 image.elects.push(put);
+                image.logs.retain(|l| !first.iter().any(|f| f.server == l.server));
+                image.logs.extend(first);
                 Ok(image)
             })
             .await;
         if out.is_ok() {
             self.publish();
-            self.name(&g.name, &elect).await;
+            self.name(&g.name, &elect, log).await;
         }
     }
 
     /// Calls the platform with the elected leader's name; safe to repeat.
-    async fn name(&self, group: &str, e: &Elect) {
+    async fn name(&self, group: &str, e: &Elect, log: u64) {
         let Some(addr) = self.platform.get() else {
             self.log(Part::Elect, "no platform is set; nobody can be named leader");
             return;
         };
-        let body = backend::naming(group, &e.server, e.line);
+        let body = backend::naming(group, &e.server, e.line, log);
         let span = self.bounds.call();
         match Client::once(&self.env, addr, "POST", backend::LEAD, &[], body, span).await {
             Ok(out) if out.code < 300 => {}
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -4,6 +4,7 @@
 mod ledger;
 mod probe;
 mod registry;
+mod roll;
 mod show;
 
 use std::{
@@ -28,6 +29,7 @@
 use ledger::Ledger;
 use probe::Seen;
 use registry::{Seat, Told};
+use roll::{Phase, Roll};
 
 /// The leading hub's desk; empty on the others.
 pub struct Duty {
@@ -41,6 +43,8 @@
     ledger: RefCell<Ledger>,
     standings: RefCell<BTreeMap<String, Standing>>,
     seen: RefCell<BTreeMap<String, Seen>>,
+    rolls: RefCell<BTreeMap<String, Roll>>,
+    phases: RefCell<BTreeMap<String, Phase>>,
     /// Servers whose address turned the hub away at once, twice in a row.
     refused: RefCell<BTreeSet<String>>,
     term: Cell<u64>,
@@ -73,6 +77,8 @@
             ledger: RefCell::default(),
             standings: RefCell::default(),
             seen: RefCell::default(),
+            rolls: RefCell::default(),
+            phases: RefCell::default(),
             refused: RefCell::default(),
             term: Cell::new(0),
             count: Cell::new(0),
@@ -95,8 +101,10 @@
             let tends = self.env.spawn(async move { me.tends().await });
             let me = self.clone();
             let watch = self.env.spawn(async move { me.watch().await });
+            let me = self.clone();
+            let roll = self.env.spawn(async move { me.roll().await });
             self.agree.bell.until(|| (self.agree.image().is_none() || self.agree.term().0 != term).then_some(())).await;
-            drop((probes, tends, watch));
+            drop((probes, tends, watch, roll));
             self.standings.borrow_mut().clear();
             self.seen.borrow_mut().clear();
         }
@@ -109,6 +117,8 @@
         self.standings.borrow_mut().clear();
         self.seats.borrow_mut().clear();
         self.seen.borrow_mut().clear();
+        self.rolls.borrow_mut().clear();
+        self.phases.borrow_mut().clear();
         self.refused.borrow_mut().clear();
         // What was told to the hub before is in the news that came by; the rest is told again soon.
         let now = self.env.now();
@@ -160,7 +170,7 @@
 
     /// Whether any group of the image has this server.
     pub fn known(&self, server: &str) -> bool {
-        self.agree.image().is_some_and(|i| i.home(server).is_some())
+        self.agree.image().is_some_and(|i| i.root(server).is_some())
     }
 
     /// The areas that servers and nodes tell of.
@@ -196,6 +206,9 @@
             return Some(self.ret(&beat, Vec::new(), Vec::new()));
         }
         self.retold(&beat, &image);
+        for s in beat.sights.iter().filter(|s| s.back > 0) {
+            self.back_told(&image, &s.server, s.back);
+        }
         let leads = self.grant_leads(&beat, &image, now);
         let shares = self.grant_shares(&beat, &image, now);
         Some(self.ret(&beat, leads, shares))
--- a/hub/src/duty/probe.rs
+++ b/hub/src/duty/probe.rs
@@ -19,6 +19,8 @@
     pub at: Duration,
     pub place: Position,
     pub leads: bool,
+    /// The identity of the log.
+    pub log: u64,
 }
 
 impl Duty {
@@ -29,7 +31,7 @@
             let addrs: BTreeMap<String, String> = {
                 let image = self.agree.image();
                 let servers = self.servers.borrow();
-                let all = image.iter().flat_map(|i| i.groups.iter().flat_map(|g| g.servers.clone()));
+                let all = image.iter().flat_map(|i| i.groups.iter().flat_map(|g| g.all().cloned()));
                 all.filter_map(|s| Some((s.clone(), servers.get(&s)?.addr.clone()))).collect()
             };
             jobs.retain(|s, (a, _)| addrs.get(s) == Some(a));
@@ -56,11 +58,11 @@
                     let asked = self.env.now();
                     let Ok(out) = line.call("GET", backend::PLACE, &[], Bytes::new(), span).await else { break };
                     let signs = backend::signs(&out);
-                    if let Signs { place: Some(place), leads, .. } = signs {
-                        let seen = Seen { asked, at: self.env.now(), place, leads };
+                    if let Signs { place: Some(place), leads, log, .. } = signs {
+                        let seen = Seen { asked, at: self.env.now(), place, leads, log };
                         refused = 0;
                         self.refused.borrow_mut().remove(&server);
-                        self.seen.borrow_mut().insert(server.clone(), seen);
+                        self.seen_now(&server, seen);
                         self.bell.ring();
                     }
                     let rest = self.bounds.sample();
--- a/hub/src/ops.rs
+++ b/hub/src/ops.rs
@@ -99,16 +99,33 @@
         }
     }
 
+    /// A change of doorways and groups. A leader that is to be taken out of its group hands over first.
+    async fn adopt(&self, make: impl Fn(&Image) -> Result<Image, Return> + 'static) -> Done {
+        if let Some(old) = self.agree.image()
+            && self.agree.leads()
+        {
+            let new = make(&old)?;
+            for g in &new.groups {
+                let Some(e) = old.elect(&g.name).filter(|e| g.leavers.contains(&e.server)) else { continue };
+                if !self.relieve(&g.name, &e.server).await {
+                    let text = format!("server {:?} leads {:?} and nobody could take over in time", e.server, g.name);
+                    return Err(refuse(Kind::Unconfirmed, &text, None));
+                }
+            }
+        }
+        self.change(make).await
+    }
+
     async fn on_set(&self, body: &[u8]) -> Done {
         let set: Set = read(body)?;
         let t = self.tricks;
-        self.change(move |old| apply(t, old, set.after, &set.doorways, Some(&set.groups), set.limits.as_ref())).await
+        self.adopt(move |old| apply(t, old, set.after, &set.doorways, Some(&set.groups), set.limits.as_ref())).await
     }
 
     async fn on_change(&self, body: &[u8]) -> Done {
         let c: Change = read(body)?;
         let t = self.tricks;
-        self.change(move |old| {
+        self.adopt(move |old| {
             after(t, old, Some(c.after))?;
             let mut all = doorways(old);
             for name in &c.drop {
@@ -121,7 +138,12 @@
                 all.retain(|x| x.name != d.name);
             }
             all.extend(c.put.iter().cloned());
-            apply(t, old, Some(c.after), &all, None, c.limits.as_ref())
+            let mut homes = groups(old);
+            for g in &c.groups {
+                homes.retain(|x| x.name != g.name);
+                homes.push(g.clone());
+            }
+            apply(t, old, Some(c.after), &all, Some(&homes), c.limits.as_ref())
         })
         .await
     }
@@ -196,15 +218,7 @@
         Limits { statement_ms: l.statement_ms, idle_ms: l.idle_ms }
     });
     let mut faults = operator::check(doors, &homes, &limits);
-    for g in &homes {
-        let lost = old.groups.iter().filter(|o| o.name == g.name).flat_map(|o| &o.servers);
-        for s in lost.filter(|s| !g.servers.contains(s)) {
-            faults.push(format!(
-                "group {:?}: server {s:?} may hold commits that no other has; it can't be left out",
-                g.name
-            ));
-        }
-    }
+    let homes: Vec<wire::Group> = homes.iter().map(|g| member(old, g, &mut faults)).collect();
     if !faults.is_empty() && !t.no_check {
         return Err(refuse(Kind::Invalid, &faults.join("; "), None));
     }
@@ -219,12 +233,42 @@
             fall: d.fall,
         })
         .collect();
-    new.groups =
-        homes.iter().map(|g| wire::Group { name: g.name.clone(), servers: g.servers.clone(), cap: g.cap }).collect();
+    new.groups = homes;
+    let kept: Vec<String> = new.groups.iter().flat_map(|g| g.all().cloned()).collect();
+    new.logs.retain(|l| kept.contains(&l.server));
     new.limits = Some(wire::Limits { statement_ms: limits.statement_ms, idle_ms: limits.idle_ms });
     Ok(new)
 }
 
+/// A group as it is to be: one server more or less at a time, so that quorums before and after always meet.
+fn member(old: &Image, g: &operator::Group, faults: &mut Vec<String>) -> wire::Group {
+    let mut new = wire::Group { name: g.name.clone(), servers: g.servers.clone(), cap: g.cap, leavers: Vec::new() };
+    let mut fault = |text: String| faults.push(format!("group {:?}: {text}", g.name));
+    for s in &g.servers {
+        if let Some(o) = old.root(s).filter(|o| o.name != g.name) {
+            fault(format!("server {s:?} is of group {:?}; take it out there first", o.name));
+        }
+    }
+    let Some(was) = old.groups.iter().find(|o| o.name == g.name) else { return new };
+    new.leavers.clone_from(&was.leavers);
+    if old.elect(&g.name).is_none() {
+        return new;
+    }
+    let lost: Vec<&String> = was.servers.iter().filter(|s| !g.servers.contains(s)).collect();
+    let more: Vec<&String> = g.servers.iter().filter(|s| !was.servers.contains(s)).collect();
+    if lost.len() + more.len() > 1 {
+        fault(format!("one server at a time; this adds {more:?} and takes out {lost:?}"));
+    }
+    if lost.len() + more.len() > 0
+        && let Some(l) = was.leavers.first()
+    {
+        fault(format!("server {l:?} is still being taken out; what it may alone hold is not yet held elsewhere"));
+    }
+    // One that never counted holds nothing that has to be waited for.
+    new.leavers.extend(lost.into_iter().filter(|s| old.log(s).is_some()).cloned());
+    new
+}
+
 fn doorways(image: &Image) -> Vec<operator::Doorway> {
     let row = |d: &wire::Doorway| operator::Doorway {
         name: d.name.clone(),
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -37,6 +37,8 @@
     pub no_check: bool,
     /// Give shares without looking at what is out.
     pub no_ledger: bool,
+    /// Count any log, whatever became of it.
+    pub no_roll: bool,
     /// Give a cold server's whole cap at once.
     pub no_ramp: bool,
 }
--- a/kit/src/fleet/mod.rs
+++ b/kit/src/fleet/mod.rs
@@ -39,7 +39,7 @@
     Client::once(env, addr, method, path, &[], body, CALL).await.ok()
 }
 
-/// Waits until every spoke serves and every group has a proven leader.
+/// Waits until every spoke serves, holds a share of every server, and every group has a proven leader.
 pub async fn ready(env: &Env, layout: &Layout, most: Duration) -> Result<(), String> {
     let end = env.now() + most;
     let mut why = String::new();
@@ -60,6 +60,9 @@
         if !text.contains("\"serving\":true") {
             return Err(format!("{} does not serve: {text}", n.name));
         }
+        if text.contains("\"share\":0,") || !text.contains("\"share\":") {
+            return Err(format!("{} waits for a share: {text}", n.name));
+        }
         for (g, _) in layout.groups() {
             if !text.contains(&format!("\"group\":\"{g}\"")) {
                 return Err(format!("{} has no leader grant for {g}", n.name));
--- a/kit/src/server/follow.rs
+++ b/kit/src/server/follow.rs
@@ -32,8 +32,13 @@
             };
             while self.leader.get() == Some(addr) && !self.leads.get() && !self.stalled.get() {
                 let after = self.log.borrow().len() as u64;
-                let of = self.log.borrow().last().map_or(0, |e| e.line);
-                let path = format!("/log?after={after}&of={of}&line={}", self.line.get());
+                let path = {
+                    // The last entry is named by its line and its attempt: a leader that lost a part of its log may have
+                    // given the same place to another.
+                    let log = self.log.borrow();
+                    let (of, send) = log.last().map_or((0, ""), |e| (e.line, e.send.as_str()));
+                    format!("/log?after={after}&of={of}&send={send}&line={}", self.line.get())
+                };
                 // A leader that changed is left at once, whatever the old one still owes.
                 let moved = self.bell.until(|| (self.leader.get() != Some(addr)).then_some(()));
                 let call = line.call("GET", &path, &[], Bytes::new(), SPAN);
--- a/kit/src/server/mod.rs
+++ b/kit/src/server/mod.rs
@@ -71,6 +71,8 @@
     pub(crate) state: RefCell<BTreeMap<String, Vec<String>>>,
     pub(crate) leads: Cell<bool>,
     pub(crate) line: Cell<u64>,
+    /// The identity of the log; a new one where the data folder was empty.
+    pub(crate) born: Cell<u64>,
     pub(crate) leader: Cell<Option<SocketAddr>>,
     pub(crate) file_at: Cell<u64>,
     pub(crate) bell: Bell,
@@ -102,6 +104,7 @@
             state: RefCell::default(),
             leads: Cell::new(false),
             line: Cell::new(0),
+            born: Cell::new(env.rand() >> 11 | 1),
             leader: Cell::new(None),
             file_at: Cell::new(0),
             bell: Bell::default(),
--- a/kit/src/server/report.rs
+++ b/kit/src/server/report.rs
@@ -26,6 +26,7 @@
                 cold: self.cold(),
                 line: self.line.get(),
                 index: place.index,
+                log: self.born.get(),
             };
             let span = Duration::from_millis(700);
             let text = body.serialize_json().into();
--- a/kit/src/server/serve.rs
+++ b/kit/src/server/serve.rs
@@ -42,6 +42,8 @@
         pub leads: bool,
         pub line: u64,
         pub addr: String,
+        /// Whose log may lead.
+        pub log: u64 = 0,
     }
 }
 
@@ -165,6 +167,7 @@
             if path == backend::PLACE { self.on_place(&ask.path).await } else { self.work(own, &path, &ask).await };
         let Some(out) = out else { return futures::future::pending().await };
         out.with(backend::POSITION, self.place())
+            .with(backend::LOG, self.born.get())
             .with(backend::LEADS, u8::from(self.leads.get()))
             .with(backend::DRAINING, u8::from(self.draining.get()))
     }
@@ -302,12 +305,17 @@
 
     async fn on_log(&self, path: &str) -> Return {
         let (after, of, line) = (number(path, "after"), number(path, "of"), number(path, "line"));
+        let send = part(path, "send").unwrap_or("");
         if !self.leads.get() || self.line.get() != line {
             return text(421, "{}".into());
         }
         {
             let log = self.log.borrow();
-            let fits = after == 0 || log.get(after as usize - 1).is_some_and(|e| e.line == of);
+            if of == line && after > log.len() as u64 {
+                // A follower ahead of its leader on one line: this log lost something, and nobody may cut after it.
+                return text(410, "{}".into());
+            }
+            let fits = after == 0 || log.get(after as usize - 1).is_some_and(|e| e.line == of && e.send == send);
             if !fits {
                 return text(409, "{}".into());
             }
@@ -328,6 +336,10 @@
         if c.line < self.line.get() {
             return text(409, "{}".into());
         }
+        if c.leads && c.log != 0 && c.log != self.born.get() {
+            // Named for a log that is no more.
+            return text(409, "{}".into());
+        }
         let moved = c.line > self.line.get();
         self.line.set(c.line);
         if c.leads && moved {
--- a/kit/src/server/store.rs
+++ b/kit/src/server/store.rs
@@ -30,6 +30,8 @@
         pub entry: Option<Entry>,
         pub leads: bool,
         pub line: u64,
+        /// The log's identity.
+        pub log: u64,
     }
 }
 
@@ -46,6 +48,7 @@
             at += row.len();
             self.line.set(r.line);
             self.leads.set(r.leads);
+            self.born.set(r.log);
             if let Some(e) = r.entry {
                 let mut log = self.log.borrow_mut();
                 log.truncate(r.index as usize - 1);
@@ -92,18 +95,24 @@
 
     /// Writes new entries to the data file, many at once.
     pub(super) async fn flush(self: Rc<Self>) -> Result<(), Infallible> {
-        let mut role = (self.leads.get(), self.line.get());
+        let mut role = (self.leads.get(), self.line.get(), self.file_at.get() > 0);
         loop {
             let seen = self.bell.count();
             let from = self.durable.get();
-            let now = (self.leads.get(), self.line.get());
+            let now = (self.leads.get(), self.line.get(), true);
             let rows: Vec<Entry> = self.log.borrow()[from as usize..].to_vec();
             if rows.is_empty() && role == now {
                 self.bell.after(seen).await;
                 continue;
             }
             let mut text = String::new();
-            let row = |index: u64, entry: Option<Entry>| Record { index, entry, leads: now.0, line: now.1 };
+            let row = |index: u64, entry: Option<Entry>| Record {
+                index,
+                entry,
+                leads: now.0,
+                line: now.1,
+                log: self.born.get(),
+            };
             if rows.is_empty() {
                 text.push_str(&row(0, None).serialize_json());
                 text.push('\n');
--- a/kit/src/sim/disk.rs
+++ b/kit/src/sim/disk.rs
@@ -24,6 +24,15 @@
         self.map.borrow_mut().clear();
     }
 
+    /// The newer half of every file's lines is lost, as when an older copy is put back.
+    pub fn shorten(&self) {
+        for data in self.map.borrow_mut().values_mut() {
+            let lines = data.iter().filter(|b| **b == b'\n').count();
+            let keep: usize = data.split_inclusive(|b| *b == b'\n').take(lines.div_ceil(2)).map(<[u8]>::len).sum();
+            data.truncate(keep);
+        }
+    }
+
     /// Rots a byte of every file whose name starts so.
     pub fn rot(&self, sim: &Sim, prefix: &str) {
         for (_, data) in self.map.borrow_mut().iter_mut().filter(|(n, _)| n.starts_with(prefix)) {
--- a/kit/src/sim/swarm.rs
+++ b/kit/src/sim/swarm.rs
@@ -18,7 +18,10 @@
 }
 
 /// Every kind of fault a seed may draw.
-pub const KINDS: [&str; 24] = [
+pub const KINDS: [&str; 27] = [
+    "replace-server",
+    "short-server",
+    "replace-then-dark",
     "kill-server",
     "kill-leader",
     "dark-leader",
@@ -120,6 +123,22 @@
     &all[town.sim.below(all.len() as u64) as usize]
 }
 
+/// The one server of a group that loses its log in this run.
+fn one_of(town: &Town, group: &str) -> String {
+    let all: Vec<&str> = town.layout.servers.iter().filter(|s| s.group == group).map(|s| s.name.as_str()).collect();
+    all[town.seed as usize % all.len()].into()
+}
+
+/// Starts a process again, to be done later.
+fn start(town: &Rc<Town>, name: &str) -> impl FnOnce(&Rc<super::Sim>) + 'static {
+    let (t, n) = (Rc::downgrade(town), name.to_string());
+    move |_| {
+        if let Some(t) = t.upgrade() {
+            t.start(&n);
+        }
+    }
+}
+
 fn harm(town: &Rc<Town>, kind: &str) -> String {
     let sim = town.sim.clone();
     let hubs: Vec<String> = town.layout.hubs.iter().map(|h| h.name.clone()).collect();
@@ -164,6 +183,24 @@
             later(&name, "start");
             name
         }
+        "replace-server" | "short-server" | "replace-then-dark" => {
+            // One lost log in a group is what its three can bear: it is always the same one.
+            let name = one_of(town, &group);
+            timeline::act(town, &name, if kind == "short-server" { "short" } else { "wipe" });
+            sim.later(Duration::from_millis(20 + sim.below(1500)), start(town, &name));
+            let lead = town.leader(&group).unwrap_or_default();
+            if kind == "replace-then-dark" && lead != name && !lead.is_empty() {
+                let (t, n) = (Rc::downgrade(town), lead.clone());
+                sim.later(Duration::from_millis(sim.below(2000)), move |_| {
+                    if let Some(t) = t.upgrade() {
+                        t.dark(&n);
+                    }
+                });
+                sim.later(Duration::from_secs(2) + rest, start(town, &lead));
+                return format!("{name} {lead}");
+            }
+            name
+        }
         "restart-hub" | "restart-spoke" => {
             let name = pick(town, if kind == "restart-hub" { &hubs } else { &spokes }).to_string();
             if town.up(&name) {
--- a/kit/src/sim/timeline.rs
+++ b/kit/src/sim/timeline.rs
@@ -11,7 +11,7 @@
 }
 
 /// Plays a timeline. The first line names the columns; each further one opens with seconds since the town served,
-/// then a word for each column, `.` for nothing. Words: `kill`, `dark`, `start`, `freeze`, `thaw`, `wipe`, `rot`,
+/// then a word for each column, `.` for nothing. Words: `kill`, `dark`, `start`, `freeze`, `thaw`, `wipe`, `short` (an older copy of its data), `rot`,
 /// `full`, `room`, `mute`, `reset`, `stall`, `flow`, `sick`, `well`, `drain`, `drained`, `wish` (a planned change of leader), `leave`, `cut>NAMES` (one way), `part>NAMES` (both ways), `heal>NAMES`, `empty`, `back`,
 /// and `fast` or `slow` for its clock. A column may be any process, an area, or `*` (only `mend`).
 pub fn play(seed: u64, tricks: Tricks, text: &str) -> Scene {
@@ -81,6 +81,10 @@
             town.kill(n);
             town.wipe(n);
         }),
+        "short" => all.iter().for_each(|n| {
+            town.kill(n);
+            town.shorten(n);
+        }),
         "rot" => all.iter().for_each(|n| {
             town.kill(n);
             town.rot(n, "");
--- a/kit/src/sim/town.rs
+++ b/kit/src/sim/town.rs
@@ -49,7 +49,7 @@
 
 impl Tricks {
     /// The names of all guards that can be taken away.
-    pub const NAMES: [&str; 19] = [
+    pub const NAMES: [&str; 21] = [
         "wait",
         "read-all-but-one",
         "blank-no-vote",
@@ -69,6 +69,8 @@
         "ledger",
         "ramp",
         "token",
+        "roll",
+        "back",
     ];
 
     /// A run without one guard.
@@ -97,6 +99,8 @@
             "check" => &mut t.hub.no_check,
             "ledger" => &mut t.hub.no_ledger,
             "ramp" => &mut t.hub.no_ramp,
+            "roll" => &mut t.hub.no_roll,
+            "back" => &mut t.spoke.grow,
             "token" => &mut t.spoke.no_token,
             _ => return None,
         };
@@ -135,6 +139,7 @@
     pub history: Rc<History>,
     pub words: Rc<Words>,
     pub tricks: Tricks,
+    pub seed: u64,
     procs: RefCell<BTreeMap<String, Proc>>,
     pub servers: Rc<RefCell<BTreeMap<String, Rc<Server>>>>,
     pub platform: Rc<RefCell<Option<Rc<Platform>>>>,
@@ -165,6 +170,7 @@
             history: Rc::default(),
             words: Rc::default(),
             tricks,
+            seed,
             procs: RefCell::default(),
             servers: Rc::default(),
             platform: Rc::default(),
@@ -385,6 +391,12 @@
         self.sim.note(self.host(name), "lost its disk");
     }
 
+    /// Puts an older copy of its data back at a process that is down.
+    pub fn shorten(&self, name: &str) {
+        self.sim.files(self.host(name)).shorten();
+        self.sim.note(self.host(name), "has an older copy of its disk");
+    }
+
     /// Rots a process's files whose names start so.
     pub fn rot(&self, name: &str, prefix: &str) {
         self.sim.files(self.host(name)).rot(&self.sim, prefix);
--- a/kit/tests/never.rs
+++ b/kit/tests/never.rs
@@ -86,6 +86,58 @@
     );
 }
 
+/// One follower is behind; the other comes back with an empty log just as the leader dies.
+#[test]
+fn a_replaced_follower_loses_no_acknowledged_commit() {
+    guarded(
+        "roll",
+        "
+        s    g1-c   g1-b   g1
+        2    stall  .      .
+        4    .      wipe   .
+        4.1  .      start  dark
+        9    flow   .      .
+        12   .      .      .
+    ",
+    );
+}
+
+/// A follower that serves lookups, and one that serves sessions, come back empty and receive nothing for a while.
+#[test]
+fn a_server_that_went_back_serves_no_promise() {
+    guarded(
+        "back",
+        "
+        s    g2-b   g3-c
+        4    wipe   wipe
+        4.1  start  start
+        4.12 stall  stall
+        8    flow   flow
+        10   .      .
+    ",
+    );
+}
+
+/// Followers and leaders of every group come back with older copies of their data, one of a group at a time.
+#[test]
+fn older_copies_of_a_log_lose_nothing() {
+    for seed in 1..=CLEAN {
+        clean(
+            seed,
+            "
+            s    g1-b   g2     g3
+            3    short  .      .
+            3.3  start  short  .
+            3.6  .      start  wipe
+            4    .      .      start
+            9    short  .      .
+            9.1  start  .      .
+            14   .      .      .
+        ",
+        );
+    }
+}
+
 /// The leader is lost to all but two nodes, which are then lost to the hubs while their grants still stand.
 #[test]
 fn nobody_is_elected_while_an_older_grant_may_stand() {
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -4,8 +4,9 @@
 
 use base::{
     Bounds, Kind,
-    edge::{caller::Token, operator::Promise},
+    edge::{backend::Signs, caller::Token, operator::Promise},
     seam::Env,
+    words::Position,
 };
 use pick::choose;
 use wire::Doorway;
@@ -22,9 +23,9 @@
     /// The leader grant of this line.
     Leader { line: u64 },
     /// A head reading asked for at this time.
-    Head { asked: Duration },
-    /// A position the server was seen to hold, or no promise at all.
-    Seen,
+    Head { asked: Duration, head: Position },
+    /// A position the server was seen to hold, or none where nothing is promised.
+    Seen { place: Position },
 }
 
 /// Where to send.
@@ -66,31 +67,28 @@
 impl Decider {
     /// Whether this node may take new work at all.
     pub fn admit(&self) -> Result<(), Kind> {
-        let now = self.env.now();
-        let view = self.journal.view();
-        if view.emptied.contains_key(&self.area) && !self.tricks.no_empty {
-            return Err(Kind::Emptied);
-        }
-        match view.confirmed {
-            Some(t) if now <= t + self.bounds.confirm() => Ok(()),
-            _ if self.tricks.no_confirm && view.image.is_some() => Ok(()),
-            _ => Err(Kind::Unconfirmed),
-        }
+        self.able(Duration::ZERO)
     }
 
     /// Whether a transaction that is open may go on here.
     pub fn stay(&self) -> Result<(), Kind> {
-        let now = self.env.now();
+        self.able(self.bounds.leave())
+    }
+
+    /// Whether the leading hub's word was the newest lately.
+    pub fn confirmed(&self) -> bool {
         let view = self.journal.view();
-        let emptied = view.emptied.get(&self.area).is_some_and(|t| now > *t + self.bounds.leave());
+        let fresh = view.confirmed.is_some_and(|t| self.env.now() <= t + self.bounds.confirm());
+        fresh || (self.tricks.no_confirm && view.image.is_some())
+    }
+
+    /// Whether work may go on, in an area that was emptied no longer than `since` ago.
+    fn able(&self, since: Duration) -> Result<(), Kind> {
+        let emptied = self.journal.view().emptied.get(&self.area).is_some_and(|t| self.env.now() >= *t + since);
         if emptied && !self.tricks.no_empty {
             return Err(Kind::Emptied);
         }
-        match view.confirmed {
-            Some(t) if now <= t + self.bounds.confirm() => Ok(()),
-            _ if self.tricks.no_confirm => Ok(()),
-            _ => Err(Kind::Unconfirmed),
-        }
+        if self.confirmed() { Ok(()) } else { Err(Kind::Unconfirmed) }
     }
 
     /// The doorway of a name.
@@ -158,7 +156,7 @@
         // With no follower that receives, a commit could not be acknowledged: refuse while "not kept" is certain.
         let since = now.saturating_sub(self.bounds.fresh());
         if let Some((_, head)) = self.gauges.head(&gate.group, since) {
-            let follows = |s: &&String| **s != lead.server && self.gauges.holds(s, head);
+            let follows = |s: &&String| **s != lead.server && self.gauges.holds(s, head) && self.gauges.counts(s);
             if g.servers.len() > 1 && g.servers.iter().filter(follows).count() == 0 {
                 return Order::Return(Kind::NoServer);
             }
@@ -203,19 +201,21 @@
     /// On what the promise would rest if this follower answered; `None` when it can't keep it.
     fn promise(&self, gate: &Gate, token: Token, server: &str) -> Option<Basis> {
         let now = self.env.now();
+        let none = Basis::Seen { place: Position::default() };
         match gate.promise {
             Promise::Leader => None,
-            Promise::Any => Some(Basis::Seen),
-            Promise::Session if self.tricks.no_token => Some(Basis::Seen),
+            Promise::Any => Some(none),
+            Promise::Session if self.tricks.no_token => Some(none),
             Promise::Session => {
-                (token.seen == Default::default() || self.gauges.holds(server, token.seen)).then_some(Basis::Seen)
+                let held = token.seen == Position::default() || self.gauges.holds(server, token.seen);
+                held.then_some(Basis::Seen { place: token.seen })
             }
-            Promise::Bound if self.tricks.no_fresh => Some(Basis::Seen),
+            Promise::Bound if self.tricks.no_fresh => Some(none),
             Promise::Bound => {
                 // A sixth of the bound is left for the way there and back.
                 let room = self.bounds.fresh() * 5 / 6;
                 let (asked, head) = self.gauges.head(&gate.group, now.saturating_sub(room))?;
-                self.gauges.holds(server, head).then_some(Basis::Head { asked })
+                self.gauges.holds(server, head).then_some(Basis::Head { asked, head })
             }
         }
     }
@@ -259,24 +259,48 @@
                 let stands = grant.is_some_and(|l| l.line == line && l.server == target.server && now < l.until);
                 stands || self.tricks.no_fence
             }
-            Basis::Head { asked } => now <= asked + self.bounds.fresh(),
-            Basis::Seen => true,
+            Basis::Head { asked, .. } => now <= asked + self.bounds.fresh(),
+            Basis::Seen { .. } => true,
+        }
+    }
+
+    /// Whether the answer's own signs bear out what the send rests on: a server that came back without part of its
+    /// log, or no longer leads, shows it.
+    pub fn borne_out(&self, target: &Target, signs: &Signs) -> bool {
+        if self.tricks.grow {
+            return true;
+        }
+        let held = |want: Position| signs.place.is_none_or(|p| p.line >= want.line && p.index >= want.index);
+        match target.basis {
+            Basis::Leader { line } => {
+                let leads = signs.leads && signs.place.is_some_and(|p| p.line == line);
+                leads && self.gauges.counts(&target.server)
+            }
+            Basis::Head { head, .. } => held(head),
+            Basis::Seen { place } => held(place),
         }
     }
 
     /// Whether a commit at this place lies on a second server of the group; looks for it where that seems soonest.
-    pub fn second(&self, target: &Target, place: base::words::Position, all: bool) -> bool {
+    pub fn second(&self, target: &Target, place: Position, all: bool) -> bool {
         let view = self.journal.view();
         let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == target.group)) else {
             return false;
         };
-        if g.servers.len() == 1 || self.tricks.no_second {
+        if self.tricks.no_second {
+            return true;
+        }
+        // A leader whose log lost something gives the same places out twice.
+        if !self.gauges.counts(&target.server) && !self.tricks.grow {
+            return false;
+        }
+        if g.servers.len() == 1 {
             return true;
         }
         let others: Vec<&String> = g.servers.iter().filter(|s| **s != target.server).collect();
         let held = |s: &&String| {
             let x = self.gauges.sight(s);
-            x.place.line == place.line && x.place.index >= place.index
+            x.place.line == place.line && x.place.index >= place.index && self.gauges.counts(s)
         };
         if others.iter().any(held) {
             return true;
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -10,7 +10,13 @@
     time::Duration,
 };
 
-use base::{Bounds, bell::Bell, seam::Env, settings::PolicySettings, words::Position};
+use base::{
+    Bounds,
+    bell::Bell,
+    seam::{Env, Part},
+    settings::PolicySettings,
+    words::Position,
+};
 use pick::{Outcome, Standing, Weights, Window};
 
 use crate::view::Journal;
@@ -22,6 +28,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Sight {
     pub place: Position,
+    /// The identity of the log.
+    pub log: u64,
+    /// The turn at which the log counted when it was seen to have lost something.
+    pub back: Option<u64>,
     /// When the newest answer came.
     pub at: Option<Duration>,
     pub lag: u64,
@@ -63,16 +73,24 @@
     pub wanted: Bell,
     /// Evaluations so far, all lists together.
     pub runs: Cell<u64>,
+    /// Test switch: places never go back.
+    grow: bool,
     /// Position readings so far.
     pub reads: Cell<u64>,
 }
 
+/// How far a place is behind a head. On an older line only what lay before the newest election is common to both.
+fn lag(head: Position, place: Position, from: Position) -> u64 {
+    let common = if place.line < head.line { place.index.min(from.index) } else { place.index };
+    head.index.saturating_sub(common)
+}
+
 /// How many statement kinds may have lists of their own.
 const KINDS: usize = 64;
 
 impl Gauges {
     /// Nothing measured yet.
-    pub fn new(env: &Env, journal: Rc<Journal>, bounds: Bounds, policy: PolicySettings) -> Rc<Self> {
+    pub fn new(env: &Env, journal: Rc<Journal>, bounds: Bounds, policy: PolicySettings, grow: bool) -> Rc<Self> {
         Rc::new(Self {
             env: env.clone(),
             journal,
@@ -86,6 +104,7 @@
             wanted: Bell::default(),
             runs: Cell::default(),
             reads: Cell::default(),
+            grow,
         })
     }
 
@@ -121,28 +140,46 @@
     }
 
     /// Takes in a position that a server showed in answer to something sent at `asked`.
-    pub fn placed(&self, server: &str, asked: Duration, place: Position) {
+    pub fn placed(&self, server: &str, asked: Duration, place: Position, log: u64) {
         let now = self.env.now();
-        let (group, lead) = {
+        let (group, lead, turn, elect) = {
             let view = self.journal.view();
             let Some(image) = &view.image else { return };
             let Some(g) = image.home(server) else { return };
             let lead = view.leads.get(&g.name).filter(|l| l.server == server && now < l.until).cloned();
-            (g.name.clone(), lead)
+            let turn = image.log(server).map_or(0, |l| l.turn);
+            let elect = image.elect(&g.name).map(|e| (e.line, e.from())).unwrap_or_default();
+            (g.name.clone(), lead, turn, elect)
         };
         let known = self.heads.borrow().get(&group).and_then(|h| h.iter().rev().find(|x| x.0 <= asked).copied());
         {
             let mut sights = self.sights.borrow_mut();
             let s = sights.entry(server.into()).or_default();
-            s.place = if place.line > s.place.line { place } else { s.place.max(place) };
+            // Only an answer asked for after the newest one came can show that the log lost something.
+            let later = s.at.is_none_or(|t| asked >= t);
+            let other = s.log != log && s.log != 0;
+            if later && !self.grow && (other || s.place.lost(place, elect.0, elect.1)) {
+                self.env.log(Part::Pool, format!("{server} went back to {place} in its log"));
+                s.back = Some(turn);
+                s.place = place;
+                s.reach = Position::default();
+            } else if later && place.line >= s.place.line && !self.grow {
+                s.place = place;
+            } else {
+                s.place = s.place.max(place);
+            }
+            if later {
+                s.log = log;
+            }
             s.at = Some(s.at.map_or(now, |t| t.max(now)));
             s.fails = 0;
             s.refused = 0;
             if let Some((_, head)) = known {
-                s.lag = head.index.saturating_sub(place.index);
+                s.lag = lag(head, place, elect.1);
             }
         }
-        if lead.is_some_and(|l| l.line == place.line) {
+        // A leader whose log lost something tells of no head.
+        if lead.is_some_and(|l| l.line == place.line) && (self.counts(server) || self.grow) {
             let mut heads = self.heads.borrow_mut();
             let list = heads.entry(group).or_default();
             // One reading for each small step of time is enough to find a fresh one.
@@ -175,8 +212,18 @@
             return s.lag;
         }
         let heads = self.heads.borrow();
-        let head = heads.get(group).and_then(|h| h.back()).map_or(0, |h| h.1.index);
-        s.lag.max(head.saturating_sub(s.place.index))
+        let Some(head) = heads.get(group).and_then(|h| h.back()).map(|h| h.1) else { return s.lag };
+        let view = self.journal.view();
+        let from = view.image.as_ref().and_then(|i| i.elect(group)).map(|e| e.from()).unwrap_or_default();
+        s.lag.max(lag(head, s.place, from))
+    }
+
+    /// Whether what a server shows counts towards a commit's second copy.
+    pub fn counts(&self, server: &str) -> bool {
+        let s = self.sight(server);
+        let view = self.journal.view();
+        let entry = view.image.as_ref().and_then(|i| i.log(server));
+        entry.is_some_and(|l| !l.void && l.born == s.log && s.back.is_none_or(|t| l.turn > t))
     }
 
     /// Whether a server shows a position, on its line or a later one.
--- a/spoke/src/gauge/sample.rs
+++ b/spoke/src/gauge/sample.rs
@@ -65,7 +65,7 @@
                     break;
                 };
                 self.record_probe(&server, true);
-                self.placed(&server, asked, place);
+                self.placed(&server, asked, place, signs.log);
                 self.journal.append(Event::Draining { server: server.clone(), draining: signs.draining });
                 self.rest(&server, seen, step).await;
             }
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -52,6 +52,8 @@
     pub no_rollback: bool,
     /// Read for a session from followers whatever it wrote before.
     pub no_token: bool,
+    /// Remember only how far a server ever was.
+    pub grow: bool,
     /// Close at once when asked to end.
     pub no_linger: bool,
 }
@@ -167,6 +169,7 @@
                     line: x.place.line,
                     index: x.place.index,
                     refused: x.refused > 1,
+                    back: x.back.unwrap_or(0),
                 });
             }
         }
@@ -224,7 +227,7 @@
     let bounds = place.bounds.clone();
     let journal = Journal::new(env);
     let pools = Pools::new(env, place.most_inbox, tricks);
-    let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone());
+    let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone(), tricks.grow);
     let relay = Relay::new(env, who.clone(), bounds.clone());
     relay.lead(Rc::new(Node {
         env: env.clone(),
--- a/spoke/src/work/mod.rs
+++ b/spoke/src/work/mod.rs
@@ -121,7 +121,7 @@
         };
         self.gauges.record(key, slot.server(), end, self.env.now() - asked);
         if let Some(p) = signs.place {
-            self.gauges.placed(slot.server(), asked, p);
+            self.gauges.placed(slot.server(), asked, p, signs.log);
         }
         if out.header(backend::DRAINING).is_some() {
             self.journal.append(Event::Draining { server: slot.server().into(), draining: signs.draining });
--- a/spoke/src/work/read.rs
+++ b/spoke/src/work/read.rs
@@ -63,7 +63,12 @@
                 continue;
             };
             let signs = self.note(key, &slot, &out, asked);
-            if signs.untaken || signs.throttled || signs.failed || !self.decider.still(&target) {
+            if signs.untaken
+                || signs.throttled
+                || signs.failed
+                || !self.decider.still(&target)
+                || !self.decider.borne_out(&target, &signs)
+            {
                 last = Kind::Failed;
                 tried.push(target.server);
                 continue;
--- a/spoke/src/work/write.rs
+++ b/spoke/src/work/write.rs
@@ -117,7 +117,7 @@
             if self.decider.second(target, place, false) {
                 return Some(true);
             }
-            (!self.decider.still(target)).then_some(false)
+            (!self.decider.still(target) || !self.decider.confirmed()).then_some(false)
         });
         // The nearest follower is looked at first; all of them if that brings nothing soon.
         let soon = self.decider.bounds.sample() / 5;
@@ -132,7 +132,7 @@
             ok = self.env.within(due.saturating_sub(self.env.now()), held).await;
         }
         // The grant is looked at last: an election held since may not have seen this commit.
-        if !matches!(ok, Ok(true)) || !self.decider.still(target) {
+        if !matches!(ok, Ok(true)) || !self.decider.still(target) || !self.decider.confirmed() {
             return self.unsure(store);
         }
         store.borrow_mut().token.join(Token { seen: place, unsure: false });
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -1,3 +1,4 @@
+use base::words::Position;
 use prost::Message;
 
 /// The operator's word and the election record: all that is kept on disks.
@@ -19,6 +20,9 @@
     /// The control nodes whose memory counts.
     #[prost(message, repeated, tag = "7")]
     pub homes: Vec<Home>,
+    /// The servers' logs that quorums are made of.
+    #[prost(message, repeated, tag = "8")]
+    pub logs: Vec<Log>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -41,6 +45,9 @@
     pub servers: Vec<String>,
     #[prost(uint64, tag = "3")]
     pub cap: u64,
+    /// Servers taken out that still count until all they may alone hold is held elsewhere.
+    #[prost(string, repeated, tag = "4")]
+    pub leavers: Vec<String>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -60,6 +67,27 @@
     pub line: u64,
     #[prost(string, tag = "3")]
     pub server: String,
+    /// The place of the elected log when it was elected: what others hold behind it is void.
+    #[prost(uint64, tag = "4")]
+    pub from_line: u64,
+    #[prost(uint64, tag = "5")]
+    pub from_index: u64,
+}
+
+/// A server's log as quorums know it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Log {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// The log's identity.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// It lost something: it is one of those a quorum is counted from, but what it holds does not count.
+    #[prost(bool, tag = "3")]
+    pub void: bool,
+    /// Rises each time the log is taken in.
+    #[prost(uint64, tag = "4")]
+    pub turn: u64,
 }
 
 /// A control node and the incarnation of its disk.
@@ -71,7 +99,36 @@
     pub born: u64,
 }
 
+impl Elect {
+    /// The place of the elected log when it was elected.
+    pub fn from(&self) -> Position {
+        Position { line: self.from_line, index: self.from_index }
+    }
+}
+
+impl Group {
+    /// The servers in it and those that are being taken out.
+    pub fn all(&self) -> impl Iterator<Item = &String> {
+        self.servers.iter().chain(&self.leavers)
+    }
+}
+
 impl Image {
+    /// A server's log as quorums know it.
+    pub fn log(&self, server: &str) -> Option<&Log> {
+        self.logs.iter().find(|l| l.server == server)
+    }
+
+    /// The servers of a group that its quorums are counted from.
+    pub fn voters<'a>(&'a self, group: &'a Group) -> impl Iterator<Item = &'a Log> {
+        group.all().filter_map(|s| self.log(s))
+    }
+
+    /// The group a server belongs to or is being taken out of.
+    pub fn root(&self, server: &str) -> Option<&Group> {
+        self.groups.iter().find(|g| g.all().any(|s| s == server))
+    }
+
     /// The newest election of a group.
     pub fn elect(&self, group: &str) -> Option<&Elect> {
         self.elects.iter().find(|e| e.group == group)
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -123,6 +123,9 @@
     /// The newest readings were turned away at once: nobody listens there.
     #[prost(bool, tag = "5")]
     pub refused: bool,
+    /// The log lost something since it was taken in at this turn; 0 when it did not.
+    #[prost(uint64, tag = "6")]
+    pub back: u64,
 }
 
 /// Orders news: the leading hub's term, then its count.
