--- a/base/src/lib.rs
+++ b/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod edge;
 pub mod error;
 pub mod http;
+pub mod metrics;
 pub mod seam;
 pub mod settings;
 pub mod strict;
--- a/hub/src/door.rs
+++ b/hub/src/door.rs
@@ -6,6 +6,7 @@
     Kind,
     edge::refuse,
     http::{Ask, Return, Session},
+    metrics,
     seam::Local,
 };
 use wire::relay::Relay;
@@ -25,15 +26,27 @@
             match ask.parts()[..] {
                 ["status"] => status(&relay, &agree),
                 ["db", ..] => refuse(Kind::NoPath, "callers are served by spokes", None),
-                _ => {
-                    let read = ask.method == hyper::Method::GET;
-                    relay.pass(ask, read).await
-                }
+                ["metrics"] => metrics(&relay, &agree),
+                _ => relay.pass(ask).await,
             }
         })
     }
 }
 
+fn metrics(relay: &Relay, agree: &Agree) -> Return {
+    let (blank, _) = agree.blank();
+    let sequence = agree.image().map_or(0, |i| i.sequence);
+    metrics::page(&[
+        ("hub_leads", "gauge", "1 while this hub leads for sure", u64::from(agree.leads())),
+        ("hub_term", "gauge", "the newest term this hub knows", agree.term().0),
+        ("hub_blank", "gauge", "1 while its disk's memory does not count", u64::from(blank)),
+        ("hub_sequence", "gauge", "the newest doorway set's sequence, while leading", sequence),
+        ("hub_children", "gauge", "nodes whose parent it is", relay.children().len() as u64),
+        ("corrupt_frames_total", "counter", "links closed on a corrupt frame", relay.corrupt.get()),
+        ("relayed_frames_total", "counter", "frames handed on for others", relay.handed.get()),
+    ])
+}
+
 fn status(relay: &Relay, agree: &Agree) -> Return {
     let (parent, depth) = relay.place();
     let (blank, _) = agree.blank();
--- a/kit/src/server/mod.rs
+++ b/kit/src/server/mod.rs
@@ -80,6 +80,8 @@
     pub draining: Cell<bool>,
     /// So many statements are run but never answered.
     pub mute: Cell<u64>,
+    /// So many statements are answered only after their due.
+    pub late: Cell<u64>,
     /// Every read fails.
     pub sick: Cell<bool>,
     /// A follower that no longer receives.
@@ -111,6 +113,7 @@
             started: env.now(),
             draining: Cell::new(false),
             mute: Cell::new(0),
+            late: Cell::new(0),
             sick: Cell::new(false),
             stalled: Cell::new(false),
             open: Cell::new(0),
--- a/kit/src/server/serve.rs
+++ b/kit/src/server/serve.rs
@@ -198,6 +198,10 @@
         self.env.sleep(self.setup.work).await;
         let out = self.run(own, path, ask).await;
         drop(busy);
+        if self.late.get() > 0 && path != backend::RESET {
+            self.late.set(self.late.get() - 1);
+            self.env.sleep(Duration::from_millis(4300)).await;
+        }
         if self.mute.get() > 0 && path != backend::RESET {
             self.mute.set(self.mute.get() - 1);
             return None;
--- /dev/null
+++ b/kit/src/sim/town/launch.rs
@@ -0,0 +1,127 @@
+use std::rc::Rc;
+
+use base::settings;
+
+use super::{Town, What};
+use crate::{
+    platform::{Known, Platform},
+    server::Server,
+};
+
+impl Town {
+    /// Starts a process that is down, with what its disk holds.
+    pub fn start(&self, name: &str) {
+        let host = self.host(name);
+        if !self.sim.is_up(host) {
+            self.sim.boot(host);
+            self.launch(name);
+        }
+    }
+
+    pub(super) fn launch(&self, name: &str) {
+        self.booted.borrow_mut().insert(name.into(), self.sim.now());
+        let (host, what, told) = {
+            let mut procs = self.procs.borrow_mut();
+            let p = procs.get_mut(name).expect("a process of the town");
+            p.told = Rc::default();
+            (p.host, p.what.clone(), p.told.clone())
+        };
+        let env = self.sim.env(host);
+        let (tricks, layout, ended) = (self.tricks, self.layout.clone(), self.ended.clone());
+        let sim = self.sim.clone();
+        let odd = if self.odd.borrow().contains(name) { 20 } else { 1 };
+        let boot = self.sim.hosts.borrow()[host].boot;
+        match what {
+            What::Desk => {}
+            What::Platform => {
+                let known = layout.servers.iter();
+                let known =
+                    known.map(|s| Known { name: s.name.clone(), group: s.group.clone(), addr: s.addr }).collect();
+                let (slot, e) = (self.platform.clone(), env.clone());
+                self.sim.spawn(
+                    host,
+                    boot,
+                    Box::pin(async move {
+                        *slot.borrow_mut() = Platform::start(&e, layout.platform, known).await.ok();
+                        std::future::pending::<()>().await;
+                    }),
+                );
+            }
+            What::Server(setup) => {
+                let (slot, e) = (self.servers.clone(), env.clone());
+                self.sim.spawn(
+                    host,
+                    boot,
+                    Box::pin(async move {
+                        let name = setup.name.clone();
+                        if let Ok(s) = Server::start(&e, setup).await {
+                            slot.borrow_mut().insert(name, s);
+                        }
+                        std::future::pending::<()>().await;
+                    }),
+                );
+            }
+            What::Hub(m) => {
+                let text = layout.settings(&m, Some(std::path::Path::new("data")));
+                let mut place =
+                    settings::read(text.as_bytes()).map(|s| s.check()).expect("settings").expect("settings");
+                place.bounds.blueprint *= odd;
+                let e = env.clone();
+                self.sim.spawn(
+                    host,
+                    boot,
+                    Box::pin(async move {
+                        let hub = match hub::run(&e, &place, tricks.hub).await {
+                            Ok(h) => h,
+                            Err(err) => {
+                                e.die(&err.to_string());
+                                return std::future::pending().await;
+                            }
+                        };
+                        told.bell.until(|| told.leave.get().then_some(())).await;
+                        hub.leave().await;
+                        e.sleep(place.bounds.pulse()).await;
+                        ended.borrow_mut().push((m.name.clone(), sim.now()));
+                        e.die("ended as asked");
+                        std::future::pending::<()>().await;
+                    }),
+                );
+            }
+            What::Spoke(m) => {
+                let text = layout.settings(&m, None);
+                let mut place =
+                    settings::read(text.as_bytes()).map(|s| s.check()).expect("settings").expect("settings");
+                place.policy = self.policy.borrow().clone();
+                place.bounds.blueprint *= odd;
+                let e = env.clone();
+                self.sim.spawn(
+                    host,
+                    boot,
+                    Box::pin(async move {
+                        let spoke = match spoke::run(&e, &place, tricks.spoke).await {
+                            Ok(s) => s,
+                            Err(err) => {
+                                e.die(&err.to_string());
+                                return std::future::pending().await;
+                            }
+                        };
+                        loop {
+                            let seen = told.bell.count();
+                            if told.leave.get() {
+                                break;
+                            }
+                            if let Some(p) = told.policy.borrow_mut().take() {
+                                spoke.policy(&p);
+                            }
+                            told.bell.after(seen).await;
+                        }
+                        spoke.leave().await;
+                        ended.borrow_mut().push((m.name.clone(), sim.now()));
+                        e.die("ended as asked");
+                        std::future::pending::<()>().await;
+                    }),
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kit/src/tool/mod.rs
@@ -0,0 +1,14 @@
+//! The commands of `kit`, each with its arguments.
+
+pub mod args;
+mod ops;
+mod sim;
+
+pub use ops::ops;
+pub use sim::sim;
+
+/// Tells what is wrong with the arguments, and ends.
+pub fn usage(text: String) -> ! {
+    eprintln!("{text}");
+    std::process::exit(64)
+}
--- a/kit/tests/tree.rs
+++ b/kit/tests/tree.rs
@@ -66,6 +66,41 @@
     }
 }
 
+/// A node's parent, by its own page.
+fn parent(town: &Rc<Town>, node: usize) -> String {
+    let (env, addr) = (town.desk(), town.layout.spokes[node].http);
+    let page = town.at_desk(secs(5), async move { fleet::ask(&env, addr, "GET", "/status", "").await });
+    let text = String::from_utf8_lossy(&page.flatten().expect("a page").body).into_owned();
+    text.split("\"parent\":\"").nth(1).unwrap().split('"').next().unwrap().to_string()
+}
+
+/// The hub of an area is lost and comes back: its nodes go round by others, and back to a parent of their own area,
+/// serving all the time.
+#[test]
+fn nodes_go_back_to_a_parent_of_their_own_area() {
+    for seed in 1..=3 {
+        let town = Town::new(seed, Build { machines: 9, ..Build::default() });
+        town.settle(secs(30)).unwrap();
+        act(&town, "h2", "dark");
+        town.sim.pass(secs(5));
+        let home = |n: usize| {
+            let name = parent(&town, n);
+            let (hubs, spokes) = (&town.layout.hubs, &town.layout.spokes);
+            hubs.iter().chain(spokes).any(|m| m.name == name && m.area == town.layout.spokes[n].area)
+        };
+        let mid: Vec<usize> = (0..9).filter(|n| town.layout.spokes[*n].area == "mid").collect();
+        assert!(mid.iter().any(|n| !home(*n)), "seed {seed}: some node went round by another area");
+        act(&town, "h2", "start");
+        for _ in 0..80 {
+            town.sim.pass(Duration::from_millis(250));
+            let out = serving(&town, &(0..9).collect::<Vec<_>>());
+            assert!(out.iter().all(|n| n.1), "seed {seed}: {out:?}");
+        }
+        let away: Vec<usize> = mid.into_iter().filter(|n| !home(*n)).collect();
+        assert!(away.is_empty(), "seed {seed}: {away:?}\n{}", drawn(&town));
+    }
+}
+
 /// A node that reaches no hub is fed by its fellows.
 #[test]
 fn a_node_cut_from_every_hub_is_fed_by_another() {
--- a/spoke/src/door/mod.rs
+++ b/spoke/src/door/mod.rs
@@ -38,9 +38,7 @@
             return Box::pin(async { refuse(Kind::NoPath, "", None) });
         }
         let relay = self.relay.clone();
-        // A report that may or may not have come through is simply made again.
-        let read = ask.method == hyper::Method::GET || ask.path == "/report";
-        Box::pin(async move { relay.pass(ask, read).await })
+        Box::pin(async move { relay.pass(ask).await })
     }
 
     fn free(&self) -> bool {
--- a/spoke/src/door/show.rs
+++ b/spoke/src/door/show.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use base::{http::Return, strict};
+use base::{http::Return, metrics, strict};
 use nanoserde::SerJson;
 use wire::relay::Relay;
 
@@ -201,25 +201,34 @@
 
     fn metrics(&self) -> Return {
         let c = self.counts();
-        let rows = [
-            ("reads_total", c.reads),
-            ("writes_total", c.writes),
-            ("refused_total", c.refused),
-            ("unknown_total", c.unknown),
-            ("retried_total", c.retried),
-            ("sessions_total", c.sessions),
-            ("evaluations_total", c.evaluations),
-            ("readings_total", c.readings),
-            ("corrupt_frames_total", c.corrupt),
-            ("relayed_frames_total", c.relayed),
-        ];
-        let mut text: String = rows.iter().map(|(n, v)| format!("portspoke_{n} {v}\n")).collect();
+        let mut out = metrics::page(&[
+            ("reads_total", "counter", "reads asked for", c.reads),
+            ("writes_total", "counter", "writes asked for outside transactions", c.writes),
+            ("refused_total", "counter", "requests refused with a time to come back", c.refused),
+            ("unknown_total", "counter", "writes whose outcome can't be told", c.unknown),
+            ("retried_total", "counter", "statements sent again elsewhere", c.retried),
+            ("sessions_total", "counter", "sessions opened", c.sessions),
+            ("evaluations_total", "counter", "evaluations of the selection policy, all lists together", c.evaluations),
+            ("readings_total", "counter", "log positions asked for", c.readings),
+            ("corrupt_frames_total", "counter", "links closed on a corrupt frame", c.corrupt),
+            ("relayed_frames_total", "counter", "frames handed on for others", c.relayed),
+        ]);
+        let mut text = String::from_utf8_lossy(&out.body).into_owned();
+        for (what, help) in [
+            ("share", "connections this node may open"),
+            ("open", "connections open"),
+            ("used", "connections in use"),
+            ("waiting", "requests that wait for one"),
+        ] {
+            text.push_str(&metrics::head(&format!("connections_{what}"), "gauge", help));
+        }
         for (name, p) in self.works.pools.all() {
             for (what, n) in [("share", p.limit()), ("open", p.open()), ("used", p.used()), ("waiting", p.waiting())] {
                 text.push_str(&format!("portspoke_connections_{what}{{server=\"{name}\"}} {n}\n"));
             }
         }
-        Return::new(200, text).with("content-type", "text/plain; version=0.0.4")
+        out.body = text.into();
+        out
     }
 
     fn lists(&self) -> Vec<ListRow> {
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -84,7 +84,9 @@
                 _ = last => break,
             }
         }
-        let key = |f: &Found| (f.root.full, f.hello.area != self.who.area, f.root.depth, self.env.rand());
+        // A hub hangs on the leading one however full that is, so that its own area's nodes are near the root.
+        let key =
+            |f: &Found| (f.root.full && !self.who.hub, f.hello.area != self.who.area, f.root.depth, self.env.rand());
         good.into_iter().min_by_key(key)
     }
 
@@ -114,7 +116,10 @@
             let span = self.bounds().call();
             let looks = self.places().into_iter().map(|a| self.env.within(span, self.look(a)));
             let all = futures::future::join_all(looks).await;
-            let fit = |f: &Found| f.hello.area == self.who.area && !f.root.full && f.root.depth < depth;
+            // Never to a node as deep as this one, or two would hang on each other; a hub is left by no such rule.
+            // Never to a node as deep as this one, or two would hang on each other; hubs choose by another rule.
+            let near = |f: &Found| f.root.depth < depth || (f.hello.hub && !self.who.hub && f.root.depth == depth);
+            let fit = |f: &Found| f.hello.area == self.who.area && !f.root.full && near(f);
             if let Some(f) = all.into_iter().flatten().flatten().filter(fit).min_by_key(|f| f.root.depth) {
                 return f;
             }
