--- a/kit/src/sim/town/launch.rs
+++ b/kit/src/sim/town/launch.rs
@@ -1,6 +1,9 @@
 use std::rc::Rc;
 
-use base::settings;
+use base::{
+    Env,
+    settings::{self, Place},
+};
 
 use super::{Town, What};
 use crate::{
@@ -8,6 +11,22 @@
     server::Server,
 };
 
+/// The checked place of a settings text of the layout's own.
+fn place(text: &str) -> Place {
+    settings::read(text.as_bytes()).map(|s| s.check()).expect("settings").expect("settings")
+}
+
+/// What started, or the end of a process that can't start.
+async fn or_die<T, E: std::fmt::Display>(env: &Env, out: Result<T, E>) -> T {
+    match out {
+        Ok(t) => t,
+        Err(e) => {
+            env.die(&e.to_string());
+            std::future::pending().await
+        }
+    }
+}
+
 impl Town {
     /// Starts a process that is down, with what its disk holds.
     pub fn start(&self, name: &str) {
@@ -62,22 +81,14 @@
                 );
             }
             What::Hub(m) => {
-                let text = layout.settings(&m, Some(std::path::Path::new("data")));
-                let mut place =
-                    settings::read(text.as_bytes()).map(|s| s.check()).expect("settings").expect("settings");
+                let mut place = place(&layout.settings(&m, Some(std::path::Path::new("data"))));
                 place.bounds.blueprint *= odd;
                 let e = env.clone();
                 self.sim.spawn(
                     host,
                     boot,
                     Box::pin(async move {
-                        let hub = match hub::run(&e, &place, tricks.hub).await {
-                            Ok(h) => h,
-                            Err(err) => {
-                                e.die(&err.to_string());
-                                return std::future::pending().await;
-                            }
-                        };
+                        let hub = or_die(&e, hub::run(&e, &place, tricks.hub).await).await;
                         told.bell.until(|| told.leave.get().then_some(())).await;
                         hub.leave().await;
                         e.sleep(place.bounds.pulse()).await;
@@ -88,9 +99,7 @@
                 );
             }
             What::Spoke(m) => {
-                let text = layout.settings(&m, None);
-                let mut place =
-                    settings::read(text.as_bytes()).map(|s| s.check()).expect("settings").expect("settings");
+                let mut place = place(&layout.settings(&m, None));
                 place.policy = self.policy.borrow().clone();
                 place.bounds.blueprint *= odd;
                 let e = env.clone();
@@ -98,13 +107,7 @@
                     host,
                     boot,
                     Box::pin(async move {
-                        let spoke = match spoke::run(&e, &place, tricks.spoke).await {
-                            Ok(s) => s,
-                            Err(err) => {
-                                e.die(&err.to_string());
-                                return std::future::pending().await;
-                            }
-                        };
+                        let spoke = or_die(&e, spoke::run(&e, &place, tricks.spoke).await).await;
                         loop {
                             let seen = told.bell.count();
                             if told.leave.get() {
