No list of all servers per read; one way to start a task at the town's desk

Change: the names are looked at, not copied, and only under the switch; the name and the bounds' number are compared as they are; the tasks go through spawn_at_desk.

--- a/hub/src/agree/mod.rs
+++ b/hub/src/agree/mod.rs
@@ -209,13 +209,13 @@
     }
 
     /// Whether another process counts by the same bounds; leases and holds rest on that.
-    pub fn agrees(&self, from: &Hello) -> bool {
-        let odd = from.rule != 0 && from.rule != self.bounds.sum() && !self.loose.any_rule;
-        if odd && self.odd.borrow_mut().insert(from.name.clone()) {
-            self.log(format!("{} counts by other bounds; it is not dealt with", from.name));
+    pub fn agrees(&self, name: &str, rule: u64) -> bool {
+        let odd = rule != 0 && rule != self.bounds.sum() && !self.loose.any_rule;
+        if odd && self.odd.borrow_mut().insert(name.into()) {
+            self.log(format!("{name} counts by other bounds; it is not dealt with"));
         }
         if !odd {
-            self.odd.borrow_mut().remove(&from.name);
+            self.odd.borrow_mut().remove(name);
         }
         !odd
     }
--- a/hub/src/agree/peer.rs
+++ b/hub/src/agree/peer.rs
@@ -31,7 +31,7 @@
         self.hello(&mut hello);
         out.send(Body::Hello(hello));
         match self.env.within(span, inn.next()).await {
-            Ok(Ok(Body::Hello(h))) if h.hub && self.agrees(&h) => Some((h, inn, out)),
+            Ok(Ok(Body::Hello(h))) if h.hub && self.agrees(&h.name, h.rule) => Some((h, inn, out)),
             _ => None,
         }
     }
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -196,8 +196,8 @@
         let blind = |s: &str| {
             let fresh = now.saturating_sub(self.bounds.beat() * 4);
             let seats = self.seats.borrow();
-            let mut all = seats.values().filter(|x| !x.hub && x.heard > fresh);
-            all.by_ref().filter(|x| x.blind(s, now, self.bounds.gone() / 2)).count()
+            let all = seats.values().filter(|x| !x.hub && x.heard > fresh);
+            all.filter(|x| x.blind(s, now, self.bounds.gone() / 2)).count()
         };
         let own = blind(&e.server);
         let rows = if own == 0 { Vec::new() } else { self.runners(g, image, now.saturating_sub(self.bounds.gone())) };
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -195,8 +195,7 @@
         if !self.agree.leads() || self.term.get() != self.agree.term().0 {
             return None;
         }
-        let from = wire::Hello { name: beat.name.clone(), rule: beat.rule, ..Default::default() };
-        if !self.agree.agrees(&from) {
+        if !self.agree.agrees(&beat.name, beat.rule) {
             return None;
         }
         let image = self.agree.image()?;
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -99,7 +99,7 @@
     }
 
     fn other(&self, from: &Hello, body: Body, out: &Out) {
-        if from.hub && self.agree.agrees(from) {
+        if from.hub && self.agree.agrees(&from.name, from.rule) {
             self.agree.frame(&from.name, body, Some(out.clone()));
         }
     }
--- a/kit/src/sim/harm.rs
+++ b/kit/src/sim/harm.rs
@@ -294,8 +294,11 @@
         "stall" | "sick" | "drain" => {
             let name = pick(town, &servers);
             timeline::act(town, name, kind);
-            let end =
-                ["flow", "well", "drained"][["stall", "sick", "drain"].iter().position(|k| *k == kind).unwrap_or(0)];
+            let end = match kind {
+                "stall" => "flow",
+                "sick" => "well",
+                _ => "drained",
+            };
             word(town, span, name, end);
             done(name, span)
         }
--- a/kit/src/sim/town/desk.rs
+++ b/kit/src/sim/town/desk.rs
@@ -79,16 +79,10 @@
     pub fn at_desk<T: 'static>(&self, most: Duration, task: impl Future<Output = T> + 'static) -> Option<T> {
         let out = Rc::new(RefCell::new(None));
         let slot = out.clone();
-        let host = self.host("desk");
-        let boot = self.sim.hosts.borrow()[host].boot;
-        self.sim.spawn(
-            host,
-            boot,
-            Box::pin(async move {
-                let v = task.await;
-                *slot.borrow_mut() = Some(v);
-            }),
-        );
+        self.spawn_at_desk(async move {
+            let v = task.await;
+            *slot.borrow_mut() = Some(v);
+        });
         let seen = out.clone();
         self.sim.run(self.sim.now() + most, &move || seen.borrow().is_some());
         out.take()
@@ -144,8 +138,6 @@
 
     /// Starts an operator and a witness for each node at the desk; they end by themselves.
     pub fn operate(&self, areas: bool, span: Duration) {
-        let host = self.host("desk");
-        let boot = self.sim.hosts.borrow()[host].boot;
         let row = |m: &Machine| Node { name: m.name.clone(), area: m.area.clone(), addr: m.http };
         let me = Rc::new(Operator {
             env: self.desk(),
@@ -158,29 +150,23 @@
         });
         let stop = Rc::new(Cell::new(false));
         let (m, s) = (me.clone(), stop.clone());
-        self.sim.spawn(host, boot, Box::pin(async move { m.work(&s).await }));
+        self.spawn_at_desk(async move { m.work(&s).await });
         for n in me.nodes.clone() {
             let (m, s) = (me.clone(), stop.clone());
-            self.sim.spawn(host, boot, Box::pin(async move { m.witness(&n, &s).await }));
+            self.spawn_at_desk(async move { m.witness(&n, &s).await });
         }
         self.sim.later(span, move |_| stop.set(true));
     }
 
     /// An operator wishes that a server lead its group; goes to some node, answered or not.
     pub fn handover(&self, server: &str) {
-        let host = self.host("desk");
-        let boot = self.sim.hosts.borrow()[host].boot;
         let (env, layout, server) = (self.desk(), self.layout.clone(), server.to_string());
         self.sim.say(&format!("operator: wishes {server} to lead"));
-        self.sim.spawn(
-            host,
-            boot,
-            Box::pin(async move {
-                let at = env.below(layout.spokes.len() as u64) as usize;
-                let body = format!("{{\"server\":\"{server}\"}}");
-                let _ = crate::fleet::ask(&env, layout.spokes[at].http, "POST", "/ops/handover", &body).await;
-            }),
-        );
+        self.spawn_at_desk(async move {
+            let at = env.below(layout.spokes.len() as u64) as usize;
+            let body = format!("{{\"server\":\"{server}\"}}");
+            let _ = crate::fleet::ask(&env, layout.spokes[at].http, "POST", "/ops/handover", &body).await;
+        });
     }
 
     /// An operator puts a server into its group or takes it out, through some node; answered or not.
@@ -190,21 +176,16 @@
         let (group, server) = (s.group.clone(), server.to_string());
         let nodes: Vec<SocketAddr> = self.layout.spokes.iter().map(|m| m.http).collect();
         self.sim.say(&format!("operator: {server} is to {} {group}", if join { "join" } else { "leave" }));
-        let (host, sim) = (self.host("desk"), self.sim.clone());
-        let boot = self.sim.hosts.borrow()[host].boot;
+        let sim = self.sim.clone();
         if join {
             closed.borrow_mut().remove(&server);
         }
-        self.sim.spawn(
-            host,
-            boot,
-            Box::pin(async move {
-                let done = crate::fleet::member_somehow(&env, &nodes, &group, &server, join).await;
-                sim.say(&format!("operator: {server} {group} {}", if done { "taken" } else { "not taken" }));
-                if done && !join {
-                    closed.borrow_mut().insert(server, env.now() + Duration::from_secs(3));
-                }
-            }),
-        );
+        self.spawn_at_desk(async move {
+            let done = crate::fleet::member_somehow(&env, &nodes, &group, &server, join).await;
+            sim.say(&format!("operator: {server} {group} {}", if done { "taken" } else { "not taken" }));
+            if done && !join {
+                closed.borrow_mut().insert(server, env.now() + Duration::from_secs(3));
+            }
+        });
     }
 }
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -180,9 +180,10 @@
         let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == gate.group)) else {
             return Order::Return(Kind::NoDatabase);
         };
-        let any: Vec<String> = view.servers.keys().cloned().collect();
-        let free: Vec<&String> = if self.tricks.no_group { &any } else { &g.servers }
-            .iter()
+        let any = view.servers.keys().filter(|_| self.tricks.no_group);
+        let own = g.servers.iter().filter(|_| !self.tricks.no_group);
+        let free: Vec<&String> = own
+            .chain(any)
             .filter(|s| Some(*s) != leader.as_ref() && !tried.contains(s))
             .filter(|s| !self.vetoed(&view, s, false) && self.pools.limit(s) > 1)
             .collect();
