--- a/base/src/boot.rs
+++ b/base/src/boot.rs
@@ -117,6 +117,12 @@
     Ok(flags)
 }
 
+/// The path of the users' own settings file, where a variable names one and no flag says anything else.
+pub fn given(flags: &Flags, variable: &str) -> Option<PathBuf> {
+    let own = flags.file.is_none() && flags.topology.is_none() && flags.name.is_none();
+    std::env::var_os(variable).filter(|_| own).map(PathBuf::from)
+}
+
 /// Reads the file and lays topology and flags over it; the error names file and field.
 pub fn load(flags: &Flags) -> Result<(Settings, Place), String> {
     let flags = &locate(flags)?;
@@ -189,6 +195,20 @@
     }
 }
 
+/// The checked place of settings that came from elsewhere than a file of the product's own; ends when they are wrong.
+pub fn place_of(set: &Settings, from: &str) -> Place {
+    set.check().unwrap_or_else(|all| {
+        eprintln!("{}", all.iter().map(|f| format!("{from}: {f}")).collect::<Vec<_>>().join("\n"));
+        exit(BAD_SETTINGS)
+    })
+}
+
+/// Tells what is wrong with settings, and ends.
+pub fn wrong(text: &str) -> ! {
+    eprintln!("{text}");
+    exit(BAD_SETTINGS)
+}
+
 /// Sets how much is logged.
 pub fn log(level: &str) {
     use spdlog::{Level, LevelFilter};
@@ -260,6 +280,14 @@
         while !self.next().await {}
     }
 
+    /// Serves until asked to end; at each SIGHUP `again` is called.
+    pub async fn until_asked(mut self, env: &Env, mut again: impl FnMut()) {
+        while !self.next().await {
+            again();
+        }
+        env.log(Part::Main, "going down");
+    }
+
     /// Serves until asked to end; on SIGHUP reads the settings again and hands the good ones to `take`, which says what
     /// of them is in force now.
     pub async fn until_end(mut self, env: &Env, flags: &Flags, take: impl Fn(&Place) -> &'static str) {
--- a/base/src/bounds.rs
+++ b/base/src/bounds.rs
@@ -82,6 +82,12 @@
         ms(self.drain / 4)
     }
 
+    /// How long a server that confirms commits may leave a question unanswered before it counts as missed: a tenth of
+    /// the drain bound.
+    pub fn missed(&self) -> Duration {
+        ms(self.drain / 10)
+    }
+
     /// How long one call to a peer or server's status may take.
     pub fn call(&self) -> Duration {
         ms(self.blueprint / 5)
--- a/base/src/edge/backend.rs
+++ b/base/src/edge/backend.rs
@@ -37,6 +37,12 @@
         pub index: u64,
         /// The identity of its log.
         pub log: u64 = 0,
+        /// The group it belongs to, where servers make themselves known.
+        pub group: String = String::new(),
+        /// Grows with every report of this server, so that a late one is known; 0 where none is counted.
+        pub turn: u64 = 0,
+        /// It ends now.
+        pub leaving: bool = false,
     }
 }
 
--- a/base/src/edge/operator.rs
+++ b/base/src/edge/operator.rs
@@ -40,6 +40,41 @@
         pub promise: String,
         /// Whether the leader reads when no follower can keep the promise.
         pub fall: bool = true,
+        /// The operators' own name for it; changes find it by this one, where there is one.
+        pub tag: String = String::new(),
+        /// How long a statement may take here, in milliseconds; 0 for the set's limit.
+        pub statement_ms: u64 = 0,
+        /// How soon an answer is wanted, in milliseconds; 0 where nothing is said.
+        pub aim_ms: u64 = 0,
+        /// How old a commit a read may miss, in milliseconds; 0 for the freshness bound.
+        pub fresh_ms: u64 = 0,
+        /// 0 is served first.
+        pub rank: u64 = 0,
+        /// The operators' own form of it, kept and read back unread.
+        pub note: String = String::new(),
+    }
+}
+
+impl Doorway {
+    /// A doorway of which nothing more is said.
+    pub fn plain(name: &str, group: &str, promise: &str) -> Self {
+        Self {
+            name: name.into(),
+            group: group.into(),
+            promise: promise.into(),
+            fall: true,
+            tag: String::new(),
+            statement_ms: 0,
+            aim_ms: 0,
+            fresh_ms: 0,
+            rank: 0,
+            note: String::new(),
+        }
+    }
+
+    /// The name that changes find it by.
+    pub fn handle(&self) -> &str {
+        if self.tag.is_empty() { &self.name } else { &self.tag }
     }
 }
 
@@ -49,6 +84,11 @@
         pub name: String,
         pub servers: Vec<String>,
         pub cap: u64 = 80,
+        /// The servers confirm commits by themselves once a second one holds them, and make themselves known; sessions
+        /// with them are spoken in the users' manner.
+        pub confirms: bool = false,
+        /// The operators' own form of it, kept and read back unread.
+        pub note: String = String::new(),
     }
 }
 
@@ -67,6 +107,10 @@
         pub doorways: Vec<Doorway>,
         pub groups: Vec<Group>,
         pub limits: Option<Limits> = None,
+        /// The operators' own number for the set, which must rise; `after` is then compared with the one in force.
+        pub number: Option<u64> = None,
+        /// The operators' own form of what is said of the whole set, kept and read back unread.
+        pub note: String = String::new(),
     }
 }
 
@@ -79,6 +123,12 @@
         /// Groups as they are to be from now on; one server more or less at a time.
         pub groups: Vec<Group> = Vec::new(),
         pub limits: Option<Limits> = None,
+        /// As in a whole set.
+        pub number: Option<u64> = None,
+        /// Names of groups that go.
+        pub drop_groups: Vec<String> = Vec::new(),
+        /// As in a whole set; empty leaves the old one.
+        pub note: String = String::new(),
     }
 }
 
@@ -90,6 +140,8 @@
         pub groups: Vec<Group>,
         pub limits: Limits,
         pub emptied: Vec<String>,
+        pub number: u64 = 0,
+        pub note: String = String::new(),
     }
 }
 
@@ -100,6 +152,29 @@
     }
 }
 
+impl Group {
+    /// A group of servers that the operator names.
+    pub fn plain(name: &str, servers: &[String], cap: u64) -> Self {
+        Self { name: name.into(), servers: servers.to_vec(), cap, confirms: false, note: String::new() }
+    }
+}
+
+impl Change {
+    /// A change of nothing, against a sequence.
+    pub fn against(after: u64) -> Self {
+        Self {
+            after,
+            put: Vec::new(),
+            drop: Vec::new(),
+            groups: Vec::new(),
+            limits: None,
+            number: None,
+            drop_groups: Vec::new(),
+            note: String::new(),
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self { statement_ms: 4000, idle_ms: 10000 }
@@ -142,7 +217,7 @@
         if !seen.insert(&g.name) {
             out.push(format!("group {:?}: named twice", g.name));
         }
-        if g.servers.is_empty() || g.servers.len() > 15 {
+        if (g.servers.is_empty() && !g.confirms) || g.servers.len() > 15 {
             out.push(format!("group {:?}: {} servers, where 1 to 15 belong", g.name, g.servers.len()));
         }
         for s in &g.servers {
--- a/base/src/error.rs
+++ b/base/src/error.rs
@@ -41,6 +41,8 @@
     Failed,
     #[error("no room on disk")]
     NoRoom,
+    #[error("no such prepared name")]
+    NoName,
 }
 
 /// What became of a write.
@@ -74,7 +76,7 @@
 
 impl Kind {
     /// Every kind, in table order.
-    pub const ALL: [Kind; 18] = [
+    pub const ALL: [Kind; 19] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::NoDatabase,
@@ -93,6 +95,7 @@
         Kind::Unknown,
         Kind::Failed,
         Kind::NoRoom,
+        Kind::NoName,
     ];
 
     /// The table from kind to answer.
@@ -116,6 +119,7 @@
             Kind::Unknown => (504, "unknown", Some(1)),
             Kind::Failed => (502, "failed", Some(1)),
             Kind::NoRoom => (507, "no-room", Some(5)),
+            Kind::NoName => (404, "no-name", None),
         };
         Row { code, name, retry }
     }
--- a/base/src/http/server.rs
+++ b/base/src/http/server.rs
@@ -43,6 +43,8 @@
     pub closing: Rc<Cell<bool>>,
     /// Whether idle connections end too.
     pub ending: Rc<Cell<bool>>,
+    /// Whether it is about to close, so that no new callers should be sent here.
+    pub leaving: Rc<Cell<bool>>,
     /// How many connections are open.
     pub open: Rc<Cell<usize>>,
     /// How many may be open.
@@ -60,6 +62,7 @@
             bell: Bell::default(),
             closing: Rc::default(),
             ending: Rc::default(),
+            leaving: Rc::default(),
             open: Rc::default(),
             most,
             body,
--- a/base/src/lib.rs
+++ b/base/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod seam;
 pub mod settings;
 pub mod strict;
+pub mod talk;
 pub mod topology;
 pub mod tree;
 pub mod words;
--- a/base/src/settings.rs
+++ b/base/src/settings.rs
@@ -26,6 +26,8 @@
         pub most_sessions: u64 = 4000,
         pub most_body: u64 = 1 << 20,
         pub most_inbox: u64 = 256,
+        /// Whether a node serves callers on while its own area is emptied of servers.
+        pub keep_on: bool = false,
     }
 }
 
@@ -95,6 +97,7 @@
     pub most_sessions: usize,
     pub most_body: usize,
     pub most_inbox: usize,
+    pub keep_on: bool,
 }
 
 /// Reads a settings file's text.
@@ -175,6 +178,7 @@
             most_sessions: self.most_sessions as usize,
             most_body: self.most_body as usize,
             most_inbox: self.most_inbox as usize,
+            keep_on: self.keep_on,
         })
     }
 }
--- /dev/null
+++ b/hub/src/duty/crown.rs
@@ -0,0 +1,393 @@
+//! Leaders of groups whose servers confirm commits themselves. Who leads is what the servers say; this hub only decides
+//! who is to lead next, and which grants may stand. See docs/platform.md for why no acknowledged commit is lost.
+
+use std::time::Duration;
+
+use base::{
+    seam::Part,
+    talk::{Act, Naming},
+    words::Position,
+};
+use wire::{Group, Image};
+
+use super::Duty;
+
+/// What a server that confirms showed lately.
+struct Sighted {
+    name: String,
+    leads: bool,
+    line: u64,
+    place: Position,
+    /// Neither draining nor gone nor in an emptied area.
+    fit: bool,
+    cold: u32,
+}
+
+impl Duty {
+    /// The servers of a group as read after `since`.
+    fn sighted(&self, g: &Group, image: &Image, since: Duration) -> Vec<Sighted> {
+        let talks = self.talks.borrow();
+        let told = self.servers.borrow();
+        let row = |s: &String| {
+            let (asked, row) = talks.get(s)?.row?;
+            let t = told.get(s)?;
+            (asked >= since).then(|| Sighted {
+                name: s.clone(),
+                leads: row.leads,
+                line: row.line,
+                place: row.place,
+                fit: !t.draining && !t.gone && !image.emptied.contains(&t.area),
+                cold: (t.cold * 20.0) as u32,
+            })
+        };
+        g.servers.iter().filter_map(row).collect()
+    }
+
+    fn primary(&self, g: &Group, image: &Image) -> Option<Sighted> {
+        let since = self.env.now().saturating_sub(self.bounds.missed());
+        self.sighted(g, image, since).into_iter().filter(|s| s.leads).max_by_key(|s| s.line)
+    }
+
+    /// For how long the middle one of those who look at a server has had a question to it unanswered. Where nobody
+    /// listens at its address any more, waiting longer tells nothing.
+    pub(super) fn silent(&self, server: &str) -> Duration {
+        let now = self.env.now();
+        let fresh = now.saturating_sub(self.bounds.beat() * 4);
+        let shut = self.bounds.missed() * 2;
+        let own = match self.talks.borrow().get(server) {
+            Some(t) if t.refused > 1 => shut,
+            Some(t) => t.open.map_or(Duration::ZERO, |t| now.saturating_sub(t)),
+            None => Duration::ZERO,
+        };
+        let mut ages = vec![own];
+        for seat in self.seats.borrow().values().filter(|s| !s.hub && s.heard > fresh) {
+            if let Some(x) = seat.sights.iter().find(|x| x.server == server) {
+                let late = now.saturating_sub(seat.heard).saturating_sub(self.bounds.beat());
+                ages.push(if x.refused { shut } else { Duration::from_millis(x.age) + late });
+            }
+        }
+        ages.sort();
+        ages[(ages.len() - 1) / 2]
+    }
+
+    /// A node tells of a grant that an earlier leading hub gave: all that were out with it named the same server.
+    pub(super) fn retold_talk(&self, l: &wire::Lead) {
+        let mut all = self.standings.borrow_mut();
+        let Some(st) = all.get_mut(&l.group) else { return };
+        if st.server.is_empty() && !st.closed {
+            st.server.clone_from(&l.server);
+            st.line = l.line;
+            st.granting = true;
+            st.proven = true;
+        }
+    }
+
+    fn stand(&self, group: &str) -> super::Standing {
+        self.standings.borrow().get(group).cloned().unwrap_or_default()
+    }
+
+    fn withdraw(&self, group: &str, why: &str) {
+        let was = self.stand(group).granting;
+        self.edit(group, |s| {
+            s.granting = false;
+            s.proven = false;
+            s.closed = true;
+            s.why = why.into();
+        });
+        if was {
+            self.log(Part::Elect, format!("grants of {group} are called back: {why}"));
+            self.relay.call();
+            self.bell.ring();
+        }
+    }
+
+    /// One look at a group.
+    pub(super) async fn reign(&self, g: &Group, image: &Image) {
+        let st = self.stand(&g.name);
+        let now = self.env.now();
+        let prim = self.primary(g, image);
+        if let Some(p) = &prim {
+            self.fence(g, p, &st).await;
+            if st.server != p.name && (st.server.is_empty() || p.line > st.line) {
+                return self.adopt_leader(g, p, &st);
+            }
+            if st.server == p.name && p.line > st.line {
+                self.edit(&g.name, |s| s.line = p.line);
+            }
+        }
+        if st.server.is_empty() {
+            // Nobody says that it leads, and no node holds a grant.
+            let known = g.servers.len() > 1 && now > self.agree.term().1 + self.bounds.missed() * 2;
+            if known && prim.is_none() && self.ledger.borrow().leads_out(&g.name, now) {
+                self.succeed(g, "").await;
+            }
+            return;
+        }
+        let silent = self.silent(&st.server);
+        if silent > self.bounds.missed() {
+            self.withdraw(&g.name, &format!("{} does not answer", st.server));
+            self.succeed(g, &st.server).await;
+            return;
+        }
+        let told = self.servers.borrow().get(&st.server).cloned();
+        let away = told.is_none_or(|t| t.draining || t.left || image.emptied.contains(&t.area));
+        let wish = st.wish.clone().filter(|w| *w != st.server && g.servers.contains(w));
+        if away || wish.is_some() {
+            self.hand_over(g, image, &st.server, wish).await;
+            return;
+        }
+        let leads = prim.as_ref().is_none_or(|p| p.name == st.server);
+        let granting = leads && silent < self.bounds.missed() / 2;
+        if granting != st.granting {
+            self.edit(&g.name, |s| {
+                s.granting = granting;
+                s.proven = granting;
+                s.closed = false;
+            });
+            self.log(Part::Elect, format!("{} {}", st.server, if granting { "is seen" } else { "is missed" }));
+            self.relay.call();
+        }
+        self.watch_blind(g, image, &st);
+    }
+
+    /// A leader that some nodes can't reach, while another fit server is in sight of more, is to hand over to that one.
+    fn watch_blind(&self, g: &Group, image: &Image, st: &super::Standing) {
+        let now = self.env.now();
+        let fresh = now.saturating_sub(self.bounds.beat() * 4);
+        let blind = |s: &str| {
+            let seats = self.seats.borrow();
+            let miss = |x: &super::Seat| x.sights.iter().any(|y| y.server == s && y.age > 600);
+            seats.values().filter(|x| !x.hub && x.heard > fresh && miss(x)).count()
+        };
+        let own = blind(&st.server);
+        let rows = if own == 0 { Vec::new() } else { self.sighted(g, image, fresh) };
+        let other = rows.iter().filter(|r| r.fit && r.name != st.server).map(|r| (blind(&r.name), r));
+        let Some((_, other)) = other.min_by_key(|x| x.0).filter(|x| x.0 < own) else {
+            return self.edit(&g.name, |s| s.dim = None);
+        };
+        let since = st.dim.unwrap_or(now);
+        let ripe = now - since > self.bounds.missed() / 2 && now - st.since > self.bounds.gone() * 2;
+        self.edit(&g.name, |s| s.dim = Some(since));
+        if ripe {
+            self.log(Part::Elect, format!("{own} nodes can't reach {}; {} is in sight of more", st.server, other.name));
+            self.edit(&g.name, |s| {
+                s.dim = None;
+                s.wish = Some(other.name.clone());
+            });
+        }
+    }
+
+    /// Grants for a server that was seen leading, once no grant for another can stand.
+    fn adopt_leader(&self, g: &Group, p: &Sighted, st: &super::Standing) {
+        if st.granting {
+            self.withdraw(&g.name, &format!("{} leads on line {}", p.name, p.line));
+        }
+        let now = self.env.now();
+        if !self.ledger.borrow().leads_out(&g.name, now) {
+            return;
+        }
+        self.log(Part::Elect, format!("{} leads {} on line {}", p.name, g.name, p.line));
+        self.edit(&g.name, |s| {
+            s.server.clone_from(&p.name);
+            s.line = p.line;
+            s.granting = true;
+            s.proven = true;
+            s.closed = false;
+            s.since = now;
+            s.wish = None;
+            s.dim = None;
+        });
+        // Whoever was kept from receiving for this election receives again.
+        let others = g.servers.iter().filter(|s| **s != p.name);
+        others.for_each(|s| self.order(s, Act::Free));
+        self.relay.call();
+        self.bell.ring();
+    }
+
+    /// Once a term: the platform hears of this holder by naming the one that leads anyway, so that a call of an earlier
+    /// holder that is still under way no longer counts; after a while, servers that one kept from receiving are freed.
+    async fn fence(&self, g: &Group, p: &Sighted, st: &super::Standing) {
+        let now = self.env.now();
+        match st.fenced {
+            // The first term of all has no earlier holder.
+            None if self.agree.term().0 <= 1 => self.edit(&g.name, |s| {
+                s.fenced = Some(now);
+                s.freed = true;
+            }),
+            None => {
+                let code = self.call_name(g, &p.name).await;
+                if code == Some(200) {
+                    self.edit(&g.name, |s| s.fenced = Some(self.env.now()));
+                }
+            }
+            Some(t) if !st.freed && now > t + self.bounds.grant() => {
+                g.servers.iter().filter(|s| **s != p.name).for_each(|s| self.order(s, Act::Free));
+                self.edit(&g.name, |s| s.freed = true);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Gives an order to a server, to be carried out on this hub's connection to it.
+    fn order(&self, server: &str, act: Act) {
+        let mut all = self.talks.borrow_mut();
+        let t = all.entry(server.into()).or_default();
+        t.order = Some(act);
+        t.held = None;
+        drop(all);
+        self.bell.ring();
+    }
+
+    /// Calls the platform; the answer's code.
+    async fn call_name(&self, g: &Group, server: &str) -> Option<u16> {
+        let (addr, manner) = (self.platform.get()?, self.manner.clone()?);
+        let naming = Naming {
+            group: g.name.clone(),
+            server: server.into(),
+            holder: self.relay.who.name.clone(),
+            fence: self.term.get(),
+        };
+        let out = manner.name(&self.env, addr, &naming, self.bounds.call()).await;
+        match out {
+            Ok(200) => Some(200),
+            Ok(code) => {
+                self.log(Part::Elect, format!("the platform answered {code} to naming {server}"));
+                Some(code)
+            }
+            Err(e) => {
+                self.log(Part::Elect, format!("the call naming {server} failed: {e}"));
+                None
+            }
+        }
+    }
+
+    /// Waits until each of these servers has shown that it receives nothing more; the newest place among them.
+    async fn hold_all(&self, names: &[String], line: u64, span: Duration) -> Option<Position> {
+        names.iter().for_each(|s| self.order(s, Act::Hold { line }));
+        self.urgent.set(self.env.now() + span);
+        let all = self.bell.until(|| {
+            let talks = self.talks.borrow();
+            let rows: Vec<_> = names.iter().filter_map(|s| talks.get(s)?.held).collect();
+            (rows.len() == names.len()).then(|| rows.iter().map(|r| r.place).max().unwrap_or_default())
+        });
+        self.env.within(span, all).await.ok()
+    }
+
+    fn free_all(&self, names: &[String]) {
+        names.iter().for_each(|s| self.order(s, Act::Free));
+    }
+
+    fn newest(&self, g: &Group) -> u64 {
+        let talks = self.talks.borrow();
+        let lines = g.servers.iter().filter_map(|s| Some(talks.get(s)?.row?.1.line));
+        lines.max().unwrap_or(0).max(self.stand(&g.name).line)
+    }
+
+    /// Elects after the leader was lost: all others are kept from receiving and read, and the furthest is named.
+    async fn succeed(&self, g: &Group, lost: &str) {
+        let others: Vec<String> = g.servers.iter().filter(|s| *s != lost).cloned().collect();
+        let need = if lost.is_empty() { others.len().saturating_sub(1) } else { others.len() };
+        if others.is_empty() || need == 0 {
+            return;
+        }
+        let line = self.newest(g) + 1;
+        self.log(Part::Elect, format!("new leader needed for {}", g.name));
+        if lost.is_empty() {
+            // Nobody is known to have led: all but one must answer.
+            others.iter().for_each(|s| self.order(s, Act::Hold { line }));
+            self.urgent.set(self.env.now() + self.bounds.gone());
+            self.env.sleep(self.bounds.gone()).await;
+            let held = others.iter().filter(|s| self.talks.borrow().get(*s).is_some_and(|t| t.held.is_some())).count();
+            if held < need {
+                return self.free_all(&others);
+            }
+        } else if self.hold_all(&others, line, self.bounds.gone()).await.is_none() {
+            let missing = others.iter().filter(|s| self.talks.borrow().get(*s).is_none_or(|t| t.held.is_none()));
+            let missing: Vec<_> = missing.cloned().collect();
+            self.log(Part::Elect, format!("{} can't be read; no leader for {} yet", missing.join(" "), g.name));
+            if self.silent(lost) < self.bounds.missed() {
+                self.free_all(&others);
+            }
+            return;
+        }
+        if !self.agree.leads() {
+            return;
+        }
+        if self.silent(lost) < self.bounds.missed() && !lost.is_empty() {
+            self.log(Part::Elect, format!("{lost} answers again"));
+            return self.free_all(&others);
+        }
+        let best = {
+            let talks = self.talks.borrow();
+            let told = self.servers.borrow();
+            let image = self.agree.image();
+            let rows = others.iter().filter_map(|s| Some((s.clone(), talks.get(s)?.held?)));
+            let fit = |s: &String| {
+                let out = |a: &String| image.as_ref().is_some_and(|i| i.emptied.contains(a));
+                told.get(s).is_some_and(|t| !t.draining && !t.gone && !out(&t.area))
+            };
+            rows.max_by_key(|(s, r)| (r.place, fit(s))).map(|x| x.0)
+        };
+        let Some(best) = best else { return };
+        self.log(Part::Elect, format!("naming {best} for {}", g.name));
+        if self.call_name(g, &best).await != Some(200) {
+            return;
+        }
+        self.await_leader(g, &best, line).await;
+    }
+
+    /// Waits for the named server to be seen leading.
+    async fn await_leader(&self, g: &Group, server: &str, line: u64) -> bool {
+        let span = self.bounds.gone();
+        self.urgent.set(self.env.now() + span);
+        let leads = |s: &str| {
+            let talks = self.talks.borrow();
+            talks.get(s).and_then(|t| t.row).is_some_and(|(_, r)| r.leads && r.line >= line)
+        };
+        let wait = self.bell.until(|| leads(server).then_some(()));
+        let out = self.env.within(span, wait).await.is_ok();
+        if !out {
+            self.log(Part::Elect, format!("{server} does not lead {} yet", g.name));
+        }
+        out
+    }
+
+    /// Hands over from a leader that answers: the others but the next are kept from receiving, so that a commit is
+    /// confirmed only once the next one has it; the old one serves on until the next leads.
+    async fn hand_over(&self, g: &Group, image: &Image, from: &str, wish: Option<String>) {
+        let rows = self.sighted(g, image, self.env.now().saturating_sub(self.bounds.missed()));
+        let next = rows
+            .iter()
+            .filter(|r| r.fit && r.name != from && wish.as_ref().is_none_or(|w| *w == r.name))
+            .max_by_key(|r| (r.place, std::cmp::Reverse(r.cold)));
+        let Some(next) = next else { return };
+        let name = next.name.clone();
+        let line = self.newest(g) + 1;
+        let others: Vec<String> = g.servers.iter().filter(|s| *s != from && **s != name).cloned().collect();
+        self.log(Part::Elect, format!("{from} is to hand {} over to {name}", g.name));
+        let Some(goal) = self.hold_all(&others, line, self.bounds.missed()).await else {
+            self.free_all(&others);
+            self.edit(&g.name, |s| s.wish = None);
+            return;
+        };
+        self.urgent.set(self.env.now() + self.bounds.gone());
+        let there = |s: &str| {
+            let talks = self.talks.borrow();
+            talks.get(s).and_then(|t| t.row).is_some_and(|(_, r)| r.place >= goal)
+        };
+        let wait = self.bell.until(|| there(&name).then_some(()));
+        let met = self.env.within(self.bounds.missed(), wait).await.is_ok();
+        if !met || !self.agree.leads() {
+            self.log(Part::Elect, format!("{name} has not caught up; {from} leads on"));
+            self.free_all(&others);
+            self.edit(&g.name, |s| s.wish = None);
+            return;
+        }
+        if self.call_name(g, &name).await != Some(200) {
+            // What became of the call can't be told: those kept from receiving stay so until it shows.
+            return;
+        }
+        self.withdraw(&g.name, &format!("{name} is named"));
+        self.await_leader(g, &name, line).await;
+    }
+}
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -15,6 +15,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Standing {
     pub line: u64,
+    /// Who leads, in a group whose servers confirm.
+    pub server: String,
+    /// Since when the platform knows that this hub holds the duty, so that no earlier holder's call counts.
+    pub fenced: Option<Duration>,
+    /// Servers that an earlier holder may have kept from receiving were freed.
+    pub freed: bool,
     /// Whether leader grants are given.
     pub granting: bool,
     /// Whether the elected server was seen leading on its line, with a second server following it.
@@ -63,7 +69,7 @@
         }
     }
 
-    fn edit(&self, group: &str, with: impl FnOnce(&mut Standing)) {
+    pub(super) fn edit(&self, group: &str, with: impl FnOnce(&mut Standing)) {
         if let Some(s) = self.standings.borrow_mut().get_mut(group) {
             with(s);
         }
@@ -106,6 +112,10 @@
             let Some(image) = self.agree.image() else { continue };
             let Some(g) = image.groups.iter().find(|x| x.name == group).cloned() else { continue };
             let st = self.standings.borrow().get(&group).cloned().unwrap_or_default();
+            if g.confirms {
+                self.reign(&g, &image).await;
+                continue;
+            }
             match image.elect(&group).cloned() {
                 None => self.elect(&g, None, false).await,
                 Some(e) => self.mind(&g, &e, st, &image).await,
@@ -222,6 +232,10 @@
     pub(super) fn retold(&self, beat: &wire::Beat, image: &Image) {
         let now = self.env.now();
         for l in &beat.leads {
+            if image.groups.iter().any(|g| g.name == l.group && g.confirms) {
+                self.retold_talk(l);
+                continue;
+            }
             if image.elect(&l.group).is_none_or(|e| e.line != l.line || e.server != l.server) {
                 continue;
             }
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -1,7 +1,9 @@
 //! What the leading hub does: knows servers and nodes as they tell, gives grants, elects leaders, sends news.
 
 mod lead;
+mod crown;
 mod ledger;
+mod muster;
 mod probe;
 mod registry;
 mod roll;
@@ -20,6 +22,7 @@
     bell::Bell,
     edge::backend::Report,
     seam::{Env, Part},
+    talk::Manner,
 };
 use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
 
@@ -27,7 +30,7 @@
 
 pub use lead::Standing;
 use ledger::Ledger;
-use probe::Seen;
+use probe::{Seen, Talk};
 use registry::{Seat, Told};
 use roll::{Phase, Roll};
 
@@ -38,6 +41,9 @@
     pub(crate) relay: Rc<Relay>,
     pub(crate) bounds: Bounds,
     pub(crate) platform: Cell<Option<SocketAddr>>,
+    pub(crate) manner: Option<Rc<dyn Manner>>,
+    /// What servers that confirm are to be told, and what they last showed of themselves.
+    talks: RefCell<BTreeMap<String, Talk>>,
     servers: RefCell<BTreeMap<String, Told>>,
     seats: RefCell<BTreeMap<String, Seat>>,
     ledger: RefCell<Ledger>,
@@ -64,6 +70,7 @@
         relay: Rc<Relay>,
         bounds: Bounds,
         platform: Option<SocketAddr>,
+        manner: Option<Rc<dyn Manner>>,
         tricks: Tricks,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -72,6 +79,8 @@
             relay,
             bounds,
             platform: Cell::new(platform),
+            manner,
+            talks: RefCell::default(),
             servers: RefCell::default(),
             seats: RefCell::default(),
             ledger: RefCell::default(),
@@ -103,8 +112,10 @@
             let watch = self.env.spawn(async move { me.watch().await });
             let me = self.clone();
             let roll = self.env.spawn(async move { me.roll().await });
+            let me = self.clone();
+            let muster = self.env.spawn(async move { me.muster().await });
             self.agree.bell.until(|| (self.agree.image().is_none() || self.agree.term().0 != term).then_some(())).await;
-            drop((probes, tends, watch, roll));
+            drop((probes, tends, watch, roll, muster));
             self.standings.borrow_mut().clear();
             self.seen.borrow_mut().clear();
         }
@@ -120,6 +131,7 @@
         self.rolls.borrow_mut().clear();
         self.phases.borrow_mut().clear();
         self.refused.borrow_mut().clear();
+        self.talks.borrow_mut().clear();
         // What was told to the hub before is in the news that came by; the rest is told again soon.
         let now = self.env.now();
         let mut servers = self.servers.borrow_mut();
@@ -159,6 +171,10 @@
         let now = self.env.now();
         let moved = {
             let mut all = self.servers.borrow_mut();
+            if r.turn > 0 && all.get(&r.server).is_some_and(|o| o.turn >= r.turn) {
+                // A late one: what came after it is known already.
+                return;
+            }
             let told = Told::from_report(r, now);
             let old = all.insert(r.server.clone(), told);
             old.is_none_or(|o| !o.same(&all[&r.server]))
@@ -168,6 +184,15 @@
         }
     }
 
+    /// Takes a server's word that it ends.
+    pub fn left(&self, server: &str) {
+        if let Some(t) = self.servers.borrow_mut().get_mut(server) {
+            t.left = true;
+            t.gone = true;
+        }
+        self.publish();
+    }
+
     /// The other address at which a server of this name still answers this hub's readings.
     pub fn heard_elsewhere(&self, r: &Report) -> Option<String> {
         let now = self.env.now();
@@ -240,15 +265,18 @@
         let standings = self.standings.borrow();
         let mut out = Vec::new();
         for (group, st) in standings.iter().filter(|(_, s)| s.granting) {
-            let Some(e) = image.elect(group) else { continue };
-            if e.line != st.line {
-                continue;
-            }
+            let server = match image.groups.iter().find(|g| g.name == *group) {
+                Some(g) if g.confirms => st.server.clone(),
+                _ => match image.elect(group) {
+                    Some(e) if e.line == st.line => e.server.clone(),
+                    _ => continue,
+                },
+            };
             self.ledger.borrow_mut().lead_given(group, &beat.name, beat.nonce, now + self.bounds.lapse());
             out.push(wire::Lead {
                 group: group.clone(),
-                server: e.server.clone(),
-                line: e.line,
+                server,
+                line: st.line,
                 span: self.bounds.grant().as_millis() as u64,
             });
         }
@@ -283,9 +311,10 @@
             let mut moved = false;
             for (name, t) in self.servers.borrow_mut().iter_mut() {
                 let probed = self.seen.borrow().get(name).map_or(Duration::ZERO, |s| s.at);
+                let probed = probed.max(self.talks.borrow().get(name).and_then(|t| t.alive).unwrap_or_default());
                 let quiet = now.saturating_sub(t.heard.max(probed)) > gone;
-                moved |= t.gone != quiet;
-                t.gone = quiet;
+                moved |= t.gone != (quiet || t.left);
+                t.gone = quiet || t.left;
             }
             let before = self.seats.borrow().len();
             self.seats.borrow_mut().retain(|_, s| now.saturating_sub(s.heard) < gone * 2);
--- /dev/null
+++ b/hub/src/duty/muster.rs
@@ -0,0 +1,51 @@
+use base::{Kind, seam::Part};
+use wire::{Group, Image};
+
+use super::Duty;
+
+impl Duty {
+    /// Writes servers that made themselves known into the groups that are open to them. A server is written in the
+    /// place of one that had its address or has left; none is ever taken out without another in its place, so that the
+    /// number of logs an election must read does not shrink.
+    pub(super) async fn muster(&self) {
+        loop {
+            self.env.sleep(self.bounds.pulse() / 2).await;
+            let Some(image) = self.agree.image() else { continue };
+            if !self.agree.leads() {
+                continue;
+            }
+            let next = image.groups.iter().filter(|g| g.confirms).find_map(|g| self.recruit(g));
+            let Some((group, new, old)) = next else { continue };
+            let text = match &old {
+                Some(o) => format!("{new} is in the place of {o} in {group}"),
+                None => format!("{new} is of {group}"),
+            };
+            let out = self.agree.propose(move |image| enrol(image, &group, &new, old.as_deref())).await;
+            if out.is_ok() {
+                self.log(Part::Elect, text);
+                self.publish();
+            }
+        }
+    }
+
+    /// A server to be written in, and the one whose place it takes.
+    fn recruit(&self, g: &Group) -> Option<(String, String, Option<String>)> {
+        let told = self.servers.borrow();
+        let new = |n: &String| !g.servers.contains(n);
+        let (name, new) = told.iter().find(|(n, t)| t.group == g.name && !t.gone && !t.left && new(n))?;
+        let same = g.servers.iter().find(|s| told.get(*s).is_some_and(|t| t.addr == new.addr));
+        let left = || g.servers.iter().find(|s| told.get(*s).is_some_and(|t| t.left));
+        Some((g.name.clone(), name.clone(), same.or_else(left).cloned()))
+    }
+}
+
+fn enrol(image: &Image, group: &str, new: &str, old: Option<&str>) -> Result<Image, Kind> {
+    let mut image = image.clone();
+    let g = image.groups.iter_mut().find(|g| g.name == group).ok_or(Kind::Conflict)?;
+    if g.servers.iter().any(|s| s == new) {
+        return Err(Kind::Conflict);
+    }
+    g.servers.retain(|s| Some(s.as_str()) != old);
+    g.servers.push(new.into());
+    Ok(image)
+}
--- a/hub/src/duty/probe.rs
+++ b/hub/src/duty/probe.rs
@@ -4,6 +4,7 @@
     edge::backend::{self, Signs},
     http::Client,
     seam::Job,
+    talk::{Act, Line, Manner, Row, Said},
     words::Position,
 };
 use bytes::Bytes;
@@ -23,24 +24,52 @@
     pub log: u64,
 }
 
+/// What passes between this hub and a server that confirms.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Talk {
+    /// What it showed, and when it was asked.
+    pub row: Option<(Duration, Row)>,
+    /// When it last answered anything.
+    pub alive: Option<Duration>,
+    /// Since when a question to it stands unanswered.
+    pub open: Option<Duration>,
+    /// How often in a row nobody listened at its address.
+    pub refused: u32,
+    /// What it is to be told next.
+    pub order: Option<Act>,
+    /// What it showed as it was kept from receiving.
+    pub held: Option<Row>,
+}
+
 impl Duty {
     /// Keeps one reading task for each server of the image.
     pub(super) async fn probes(self: Rc<Self>) {
         let mut jobs: BTreeMap<String, (String, Job)> = BTreeMap::new();
         loop {
-            let addrs: BTreeMap<String, String> = {
+            let addrs: BTreeMap<String, (String, Option<String>)> = {
                 let image = self.agree.image();
                 let servers = self.servers.borrow();
-                let all = image.iter().flat_map(|i| i.groups.iter().flat_map(|g| g.all().cloned()));
-                all.filter_map(|s| Some((s.clone(), servers.get(&s)?.addr.clone()))).collect()
+                let row = |g: &wire::Group, s: &String| {
+                    let t = servers.get(s).filter(|t| !t.left)?;
+                    Some((s.clone(), (t.addr.clone(), g.confirms.then(|| g.name.clone()))))
+                };
+                let all = image.iter().flat_map(|i| i.groups.iter().flat_map(|g| g.all().filter_map(|s| row(g, s))));
+                all.collect()
             };
-            jobs.retain(|s, (a, _)| addrs.get(s) == Some(a));
-            for (server, addr) in addrs {
+            jobs.retain(|s, (a, _)| addrs.get(s).is_some_and(|x| x.0 == *a));
+            for (server, (addr, group)) in addrs {
                 let Ok(sock) = addr.parse() else { continue };
                 if !jobs.contains_key(&server) {
                     let me = self.clone();
                     let name = server.clone();
-                    let job = self.env.spawn(async move { me.probe(name, sock).await });
+                    let manner = self.manner.clone();
+                    let job = self.env.spawn(async move {
+                        match (group, manner) {
+                            (Some(group), Some(manner)) => me.talk(name, sock, group, manner).await,
+                            (Some(_), None) => {}
+                            _ => me.probe(name, sock).await,
+                        }
+                    });
                     jobs.insert(server, (addr, job));
                 }
             }
@@ -79,4 +108,59 @@
             self.env.sleep(self.bounds.sample() / 2).await;
         }
     }
+
+    fn with_talk(&self, server: &str, with: impl FnOnce(&mut Talk)) {
+        with(self.talks.borrow_mut().entry(server.into()).or_default());
+    }
+
+    /// Reads one server that confirms, and tells it what it is ordered.
+    async fn talk(&self, server: String, addr: SocketAddr, group: String, manner: Rc<dyn Manner>) {
+        let span = self.bounds.call();
+        loop {
+            let start = self.env.now();
+            self.with_talk(&server, |t| t.open = t.open.or(Some(start)));
+            let line = self.env.within(span, manner.open(&self.env, addr, &group, &server)).await;
+            if let Ok(Ok(mut line)) = line {
+                self.stay(&server, &mut *line).await;
+            } else {
+                let soon = self.env.now() - start < span / 4;
+                self.with_talk(&server, |t| t.refused = if soon { t.refused + 1 } else { 0 });
+            }
+            self.env.sleep(self.bounds.sample() / 5).await;
+        }
+    }
+
+    async fn stay(&self, server: &str, line: &mut dyn Line) {
+        let span = self.bounds.call();
+        while line.open() {
+            let asked = self.env.now();
+            let order = self.talks.borrow().get(server).and_then(|t| t.order);
+            self.with_talk(server, |t| t.open = t.open.or(Some(asked)));
+            let said = Said::own(order.unwrap_or(Act::Place));
+            let Ok(Ok(reply)) = self.env.within(span, line.say(&said, None)).await else { return };
+            let now = self.env.now();
+            self.with_talk(server, |t| {
+                t.open = None;
+                t.refused = 0;
+                t.alive = Some(now);
+                let Some(row) = reply.row else { return };
+                t.row = Some((asked, row));
+                if order.is_some() && t.order == order {
+                    t.order = None;
+                    t.held = matches!(order, Some(Act::Hold { .. })).then_some(row);
+                }
+            });
+            self.bell.ring();
+            let busy = reply.row.is_none();
+            // Nothing is asked more often than urgent readings are.
+            self.env.sleep(self.bounds.sample() / 10).await;
+            let soon = self.bell.until(|| {
+                let order = self.talks.borrow().get(server).is_some_and(|t| t.order.is_some());
+                (order || self.env.now() < self.urgent.get()).then_some(())
+            });
+            if !busy {
+                let _ = self.env.within(self.bounds.sample(), soon).await;
+            }
+        }
+    }
 }
--- a/hub/src/duty/registry.rs
+++ b/hub/src/duty/registry.rs
@@ -14,6 +14,11 @@
     pub line: u64,
     pub heard: Duration,
     pub gone: bool,
+    /// The group it makes itself known for, if it does.
+    pub group: String,
+    pub turn: u64,
+    /// It said that it ends.
+    pub left: bool,
 }
 
 impl Told {
@@ -27,7 +32,10 @@
             leads: r.leads,
             line: r.line,
             heard: now,
-            gone: false,
+            gone: r.leaving,
+            group: r.group.clone(),
+            turn: r.turn,
+            left: r.leaving,
         }
     }
 
@@ -42,6 +50,9 @@
             line: s.line,
             heard: if s.gone { Duration::ZERO } else { now },
             gone: s.gone,
+            group: s.group.clone(),
+            turn: s.turn,
+            left: s.left,
         }
     }
 
@@ -58,6 +69,8 @@
             && self.leads == o.leads
             && self.line == o.line
             && self.gone == o.gone
+            && self.left == o.left
+            && self.group == o.group
             && self.step() == o.step()
     }
 
@@ -72,6 +85,9 @@
             cold: self.step(),
             leads: self.leads,
             line: self.line,
+            group: self.group.clone(),
+            turn: self.turn,
+            left: self.left,
         }
     }
 }
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod run;
 pub mod store;
 
-pub use run::{Hub, Tricks, run};
+pub use run::{Hub, Tricks, run, run_in};
--- a/hub/src/ops.rs
+++ b/hub/src/ops.rs
@@ -49,6 +49,7 @@
         let parts: Vec<&str> = path.split('/').filter(|p| !p.is_empty()).collect();
         let out = match (method, &parts[..]) {
             ("POST", ["report"]) => self.on_report(&body),
+            ("DELETE", ["report", server]) => self.on_leave(server),
             ("PUT", ["ops", "doorways"]) => self.on_set(&body).await,
             ("PATCH", ["ops", "doorways"]) => self.on_change(&body).await,
             ("GET", ["ops", "doorways"]) => self.on_readback().await,
@@ -73,7 +74,7 @@
         if !self.agree.leads() {
             return Err(refuse(Kind::Unconfirmed, "", None));
         }
-        if let Some(at) = self.heard_elsewhere(&r) {
+        if let Some(at) = self.heard_elsewhere(&r).filter(|_| r.group.is_empty()) {
             let text = format!("server {:?} answers at {at}; another is of this name", r.server);
             return Err(refuse(Kind::Invalid, &text, None));
         }
@@ -81,6 +82,14 @@
         Ok(json(200, format!("{{\"known\":{}}}", self.known(&r.server))))
     }
 
+    fn on_leave(&self, server: &str) -> Done {
+        if !self.agree.leads() {
+            return Err(refuse(Kind::Unconfirmed, "", None));
+        }
+        self.left(server);
+        Ok(json(200, "{}".into()))
+    }
+
     async fn change(&self, make: impl FnOnce(&Image) -> Result<Image, Return> + 'static) -> Done {
         let slot = Rc::new(std::cell::RefCell::new(None));
         let told = slot.clone();
@@ -123,31 +132,34 @@
     async fn on_set(&self, body: &[u8]) -> Done {
         let set: Set = read(body)?;
         let t = self.tricks;
-        self.adopt(move |old| apply(t, old, set.after, &set.doorways, Some(&set.groups), set.limits.as_ref())).await
+        let turn = Turn { after: set.after, number: set.number, sum: sum(body) };
+        self.adopt(move |old| {
+            turn.check(t, old)?;
+            apply(t, old, &turn, &set.doorways, Some(&set.groups), set.limits.as_ref(), &set.note)
+        })
+        .await
     }
 
     async fn on_change(&self, body: &[u8]) -> Done {
         let c: Change = read(body)?;
         let t = self.tricks;
+        let turn = Turn { after: Some(c.after), number: c.number, sum: sum(body) };
         self.adopt(move |old| {
-            after(t, old, Some(c.after))?;
+            turn.check(t, old)?;
             let mut all = doorways(old);
             for name in &c.drop {
-                if !all.iter().any(|d| d.name == *name) {
+                // Where operators number their sets, one that is not there need not be taken out.
+                if c.number.is_none() && !all.iter().any(|d| d.handle() == name) {
                     return Err(refuse(Kind::Invalid, &format!("drop: no doorway {name:?}"), None));
                 }
-                all.retain(|d| d.name != *name);
+                all.retain(|d| d.handle() != name);
             }
-            for d in &c.put {
-                all.retain(|x| x.name != d.name);
-            }
-            all.extend(c.put.iter().cloned());
+            merge(&mut all, &c.put, |a, b| a.handle() == b.handle());
             let mut homes = groups(old);
-            for g in &c.groups {
-                homes.retain(|x| x.name != g.name);
-                homes.push(g.clone());
-            }
-            apply(t, old, Some(c.after), &all, Some(&homes), c.limits.as_ref())
+            homes.retain(|g| !c.drop_groups.contains(&g.name));
+            merge(&mut homes, &c.groups, |a, b| a.name == b.name);
+            let note = if c.note.is_empty() { &old.note } else { &c.note };
+            apply(t, old, &turn, &all, Some(&homes), c.limits.as_ref(), note)
         })
         .await
     }
@@ -161,6 +173,8 @@
             groups: groups(&image),
             limits: Limits { statement_ms: limits.statement_ms, idle_ms: limits.idle_ms },
             emptied: image.emptied.clone(),
+            number: image.number,
+            note: image.note.clone(),
         };
         Ok(json(200, out.serialize_json()))
     }
@@ -196,26 +210,71 @@
     }
 }
 
-fn after(t: Tricks, old: &Image, want: Option<u64>) -> Result<(), Return> {
-    match want {
-        Some(n) if n != old.sequence && !t.no_compare => {
-            let mut ret = refuse(Kind::Conflict, &format!("the newest sequence is {}", old.sequence), None);
-            ret.head.push(("x-sequence".into(), old.sequence.to_string()));
-            Err(ret)
+/// Against what a set or change was made, and what it was.
+struct Turn {
+    after: Option<u64>,
+    number: Option<u64>,
+    sum: u64,
+}
+
+/// How many sets that were taken are remembered, to know one that is sent again.
+const TAKEN: usize = 32;
+
+impl Turn {
+    /// Refuses one that was made against another set than the newest; one that was taken already is answered so.
+    fn check(&self, t: Tricks, old: &Image) -> Result<(), Return> {
+        if let Some(number) = self.number
+            && old.taken.contains(&wire::Taken { number, sum: self.sum })
+        {
+            return Err(sequence(old));
+        }
+        let now = if self.number.is_some() { old.number } else { old.sequence };
+        if self.after.is_some_and(|n| n != now) && !t.no_compare {
+            let mut ret = refuse(Kind::Conflict, &format!("the newest sequence is {now}"), None);
+            ret.head.push(("x-sequence".into(), now.to_string()));
+            return Err(ret);
+        }
+        if let Some(n) = self.number.filter(|n| *n <= old.number) {
+            let text = format!("number: {n} is not above {}, the one in force", old.number);
+            return Err(refuse(Kind::Invalid, &text, None));
+        }
+        Ok(())
+    }
+
+    /// Notes in the image that it was taken.
+    fn note(&self, new: &mut Image) {
+        new.sequence += 1;
+        let Some(number) = self.number else { return };
+        new.number = number;
+        new.taken.push(wire::Taken { number, sum: self.sum });
+        let over = new.taken.len().saturating_sub(TAKEN);
+        new.taken.drain(..over);
+    }
+}
+
+fn sum(body: &[u8]) -> u64 {
+    u64::from(crc32fast::hash(body)) << 32 | body.len() as u64
+}
+
+/// Replaces each item by its newer form where it stands, or adds it.
+fn merge<T: Clone>(all: &mut Vec<T>, new: &[T], same: impl Fn(&T, &T) -> bool) {
+    for n in new {
+        match all.iter_mut().find(|a| same(a, n)) {
+            Some(a) => *a = n.clone(),
+            None => all.push(n.clone()),
         }
-        _ => Ok(()),
     }
 }
 
 fn apply(
     t: Tricks,
     old: &Image,
-    want: Option<u64>,
+    turn: &Turn,
     doors: &[operator::Doorway],
     homes: Option<&[operator::Group]>,
     limits: Option<&Limits>,
+    note: &str,
 ) -> Result<Image, Return> {
-    after(t, old, want)?;
     let homes = homes.map_or_else(|| groups(old), <[_]>::to_vec);
     let limits = limits.cloned().unwrap_or_else(|| {
         let l = old.limits.unwrap_or_default();
@@ -227,7 +286,8 @@
         return Err(refuse(Kind::Invalid, &faults.join("; "), None));
     }
     let mut new = old.clone();
-    new.sequence += 1;
+    turn.note(&mut new);
+    new.note = note.into();
     new.doorways = doors
         .iter()
         .map(|d| wire::Doorway {
@@ -235,6 +295,12 @@
             group: d.group.clone(),
             promise: d.promise.clone(),
             fall: d.fall,
+            tag: d.tag.clone(),
+            statement_ms: d.statement_ms,
+            aim_ms: d.aim_ms,
+            fresh_ms: d.fresh_ms,
+            rank: d.rank,
+            note: d.note.clone(),
         })
         .collect();
     new.groups = homes;
@@ -246,7 +312,19 @@
 
 /// A group as it is to be: one server more or less at a time, so that quorums before and after always meet.
 fn member(old: &Image, g: &operator::Group, faults: &mut Vec<String>) -> wire::Group {
-    let mut new = wire::Group { name: g.name.clone(), servers: g.servers.clone(), cap: g.cap, leavers: Vec::new() };
+    let mut new = wire::Group {
+        name: g.name.clone(),
+        servers: g.servers.clone(),
+        cap: g.cap,
+        leavers: Vec::new(),
+        confirms: g.confirms,
+        note: g.note.clone(),
+    };
+    if g.confirms {
+        // Its servers make themselves known; a set neither adds nor takes out any.
+        new.servers = old.groups.iter().find(|o| o.name == g.name).map(|o| o.servers.clone()).unwrap_or_default();
+        return new;
+    }
     let mut fault = |text: String| faults.push(format!("group {:?}: {text}", g.name));
     for s in &g.servers {
         if let Some(o) = old.root(s).filter(|o| o.name != g.name) {
@@ -279,11 +357,23 @@
         group: d.group.clone(),
         promise: d.promise.clone(),
         fall: d.fall,
+        tag: d.tag.clone(),
+        statement_ms: d.statement_ms,
+        aim_ms: d.aim_ms,
+        fresh_ms: d.fresh_ms,
+        rank: d.rank,
+        note: d.note.clone(),
     };
     image.doorways.iter().map(row).collect()
 }
 
 fn groups(image: &Image) -> Vec<operator::Group> {
-    let row = |g: &wire::Group| operator::Group { name: g.name.clone(), servers: g.servers.clone(), cap: g.cap };
+    let row = |g: &wire::Group| operator::Group {
+        name: g.name.clone(),
+        servers: g.servers.clone(),
+        cap: g.cap,
+        confirms: g.confirms,
+        note: g.note.clone(),
+    };
     image.groups.iter().map(row).collect()
 }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -6,6 +6,7 @@
     http::{self, Door, Session},
     seam::{Env, Part},
     settings::Place,
+    talk::Manner,
     tree::Tree,
 };
 use wire::{
@@ -111,6 +112,16 @@
 
 /// Starts a hub; it runs for as long as the returned value lives.
 pub async fn run(env: &Env, place: &Place, tricks: Tricks) -> Result<Hub, Fault> {
+    run_in(env, place, tricks, None).await
+}
+
+/// Starts a hub that speaks to servers which confirm commits in the users' manner.
+pub async fn run_in(
+    env: &Env,
+    place: &Place,
+    tricks: Tricks,
+    manner: Option<Rc<dyn Manner>>,
+) -> Result<Hub, Fault> {
     let who = Who {
         name: place.name.clone(),
         area: place.area.clone(),
@@ -135,7 +146,7 @@
     let (agree, inbox) = Agree::new(env, who.clone(), place.bounds.clone(), kept, loose);
     let relay = Relay::new(env, who.clone(), place.bounds.clone());
     let root = Rc::new(Root { agree: agree.clone(), duty: Default::default(), env: env.clone() });
-    let duty = Duty::new(env, agree.clone(), relay.clone(), place.bounds.clone(), place.platform, tricks);
+    let duty = Duty::new(env, agree.clone(), relay.clone(), place.bounds.clone(), place.platform, manner, tricks);
     *root.duty.borrow_mut() = Some(duty.clone());
     relay.lead(root);
     let door = Door::new(place.most_sessions, place.most_body);
--- a/kit/src/fleet/members.rs
+++ b/kit/src/fleet/members.rs
@@ -24,7 +24,7 @@
     } else {
         g.servers.retain(|s| s != server);
     }
-    let change = Change { after: set.sequence, put: Vec::new(), drop: Vec::new(), groups, limits: None };
+    let change = Change { groups, ..Change::against(set.sequence) };
     let out = ask(env, node, "PATCH", "/ops/doorways", &change.serialize_json()).await;
     out.ok_or(format!("{node} does not answer; read back before asking again"))
 }
--- a/kit/src/load/mod.rs
+++ b/kit/src/load/mod.rs
@@ -48,17 +48,14 @@
 pub fn doorways(groups: &[(String, Vec<String>)], cap: u64) -> String {
     use base::edge::operator::{Doorway, Group, Set};
     use nanoserde::SerJson;
-    let row = |(i, (name, promise, _)): (usize, &(&str, &str, u64))| Doorway {
-        name: name.to_string(),
-        group: groups[i % groups.len()].0.clone(),
-        promise: promise.to_string(),
-        fall: true,
-    };
+    let row = |(i, (name, promise, _)): (usize, &(&str, &str, u64))| Doorway::plain(name, &groups[i % groups.len()].0, promise);
     let set = Set {
         after: None,
         doorways: DOORS.iter().enumerate().map(row).collect(),
-        groups: groups.iter().map(|(n, s)| Group { name: n.clone(), servers: s.clone(), cap }).collect(),
+        groups: groups.iter().map(|(n, s)| Group::plain(n, s, cap)).collect(),
         limits: None,
+        number: None,
+        note: String::new(),
     };
     set.serialize_json()
 }
--- a/kit/src/load/operator.rs
+++ b/kit/src/load/operator.rs
@@ -152,8 +152,8 @@
     }
 
     async fn change(&self, after: u64, group: &str, addr: SocketAddr) -> bool {
-        let put = vec![Doorway { name: MOVED.into(), group: group.into(), promise: "any".into(), fall: true }];
-        let body = Change { after, put, drop: Vec::new(), groups: Vec::new(), limits: None }.serialize_json();
+        let put = vec![Doorway::plain(MOVED, group, "any")];
+        let body = Change { put, ..Change::against(after) }.serialize_json();
         self.send("PATCH", "/ops/doorways", body, after + 1, group, addr).await
     }
 
--- a/kit/src/server/report.rs
+++ b/kit/src/server/report.rs
@@ -27,6 +27,9 @@
                 line: self.line.get(),
                 index: place.index,
                 log: self.born.get(),
+                group: String::new(),
+                turn: 0,
+                leaving: false,
             };
             let span = Duration::from_millis(700);
             let text = body.serialize_json().into();
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -50,6 +50,10 @@
     pub group: String,
     pub promise: Promise,
     pub fall: bool,
+    /// How long a statement may take, how soon an answer is wanted, how old a commit a read may miss; where told.
+    pub most: Option<Duration>,
+    pub aim: Option<Duration>,
+    pub fresh: Option<Duration>,
 }
 
 /// Asked by the executor.
@@ -61,6 +65,8 @@
     pub gauges: Rc<Gauges>,
     pub pools: Rc<Pools>,
     pub bounds: Bounds,
+    /// Serve callers on while the own area is emptied of servers.
+    pub keep_on: bool,
     pub tricks: Tricks,
 }
 
@@ -85,7 +91,7 @@
     /// Whether work may go on, in an area that was emptied no longer than `since` ago.
     fn able(&self, since: Duration) -> Result<(), Kind> {
         let emptied = self.journal.view().emptied.get(&self.area).is_some_and(|t| self.env.now() >= *t + since);
-        if emptied && !self.tricks.no_empty {
+        if emptied && !self.tricks.no_empty && !self.keep_on {
             return Err(Kind::Emptied);
         }
         if self.confirmed() { Ok(()) } else { Err(Kind::Unconfirmed) }
@@ -97,7 +103,16 @@
         let image = view.image.as_ref().ok_or(Kind::Unconfirmed)?;
         let d: &Doorway = image.doorways.iter().find(|d| d.name == name).ok_or(Kind::NoDatabase)?;
         let promise = Promise::find(&d.promise).ok_or(Kind::NoDatabase)?;
-        Ok(Gate { name: d.name.clone(), group: d.group.clone(), promise, fall: d.fall })
+        let span = |ms: u64| (ms > 0).then(|| Duration::from_millis(ms));
+        Ok(Gate {
+            name: d.name.clone(),
+            group: d.group.clone(),
+            promise,
+            fall: d.fall,
+            most: span(d.statement_ms),
+            aim: span(d.aim_ms),
+            fresh: span(d.fresh_ms),
+        })
     }
 
     /// How long a statement may take, by the operator's word.
@@ -250,6 +265,81 @@
         Some(Target { server: server.clone(), group: gate.group.clone(), basis: basis.clone() })
     }
 
+    /// Where a write or a transaction of a group whose servers confirm may go.
+    pub fn lead(&self, group: &str) -> Result<Target, Kind> {
+        self.leader(&self.journal.view(), group)
+    }
+
+    /// Whether the leave to act on the target as leader stands now. What was begun under it may be ended without it: the
+    /// server itself refuses once another leads, and no other's commit is acknowledged while this leave is out.
+    pub fn leads(&self, target: &Target) -> bool {
+        let view = self.journal.view();
+        let grant = view.leads.get(&target.group);
+        grant.is_some_and(|l| l.server == target.server && self.env.now() < l.until) || self.tricks.no_fence
+    }
+
+    /// Where a read of a group whose servers confirm may go, and which position the server itself must find in its log.
+    /// Inside the standing list, less the vetoed and the silent.
+    pub fn spot(&self, gate: &Gate, key: &Key, own: Position, tried: &[String]) -> Order {
+        let view = self.journal.view();
+        let lead = self.leader(&view, &gate.group);
+        let floor = match gate.promise {
+            Promise::Leader => None,
+            Promise::Any => Some(Position::default()),
+            Promise::Bound | Promise::Session => {
+                let fresh = gate.fresh.unwrap_or(self.bounds.fresh());
+                let since = self.env.now().saturating_sub(fresh * 5 / 6);
+                self.gauges.head(&gate.group, since).map(|(_, head)| head.max(own))
+            }
+        };
+        let again = |s: &String| tried.iter().filter(|t| *t == s).count();
+        let at_lead = |k: Kind| match &lead {
+            Ok(t) if again(&t.server) < 2 => Order::Send(t.clone()),
+            Ok(_) => Order::Return(Kind::Failed),
+            Err(_) => Order::Return(k),
+        };
+        let Some(floor) = floor else { return at_lead(Kind::NoLeader) };
+        let leader = view.leads.get(&gate.group).map(|l| l.server.clone());
+        let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == gate.group)) else {
+            return Order::Return(Kind::NoDatabase);
+        };
+        let silent = |s: &String| {
+            let open = self.gauges.sight(s).open;
+            open.is_some_and(|t| self.env.now() > t + self.bounds.missed() / 2)
+        };
+        let free = |s: &&String| {
+            Some(*s) != leader.as_ref()
+                && again(s) == 0
+                && !self.vetoed(&view, s, false)
+                && !silent(s)
+                && self.pools.limit(s) > 0
+        };
+        let mut rows: Vec<&String> = g.servers.iter().filter(free).collect();
+        if rows.iter().any(|s| self.gauges.holds(s, floor)) {
+            // Others would refuse, being behind.
+            rows.retain(|s| self.gauges.holds(s, floor));
+        }
+        let near = |s: &&String| view.servers.get(*s).is_some_and(|x| x.area == self.area);
+        let basis = Basis::Seen { place: floor };
+        fn fit<'a>(rows: &[&'a String], basis: &Basis) -> Vec<(&'a String, Basis)> {
+            rows.iter().map(|s| (*s, basis.clone())).collect()
+        }
+        let in_list = |rows: &[(&String, Basis)]| {
+            let lists = self.gauges.lists.borrow();
+            let list = lists.get(key);
+            rows.iter().any(|(s, _)| list.is_none_or(|l| l.standing.has(s)))
+        };
+        // The list says who may read; the order inside it puts the own area first while that is not crowded.
+        let close: Vec<&String> = rows.iter().copied().filter(near).filter(|s| self.pools.load(s) < 0.75).collect();
+        let close = fit(&close, &basis);
+        let chosen = if in_list(&close) { self.choose(gate, key, &close) } else { None };
+        match chosen.or_else(|| self.choose(gate, key, &fit(&rows, &basis))) {
+            Some(t) => Order::Send(t),
+            None if gate.fall => at_lead(Kind::NoServer),
+            None => Order::Return(Kind::NoServer),
+        }
+    }
+
     /// Whether what a send rests on still stands; asked before the send and again before the answer.
     pub fn still(&self, target: &Target) -> bool {
         let now = self.env.now();
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -39,6 +39,8 @@
     pub fails: u32,
     /// How many of these were turned away at once.
     pub refused: u32,
+    /// Since when something sent here stands unanswered.
+    pub open: Option<Duration>,
     /// A commit that someone waits to see here.
     pub reach: Position,
 }
@@ -194,6 +196,55 @@
         self.moved.ring();
     }
 
+    /// Something was sent to a server in the users' manner.
+    pub fn sent(&self, server: &str) {
+        let now = self.env.now();
+        let mut sights = self.sights.borrow_mut();
+        let s = sights.entry(server.into()).or_default();
+        s.open = s.open.or(Some(now));
+    }
+
+    /// A server in the users' manner answered what was sent at `asked`, and showed this place.
+    pub fn answered(&self, server: &str, asked: Duration, place: Option<Position>) {
+        let now = self.env.now();
+        {
+            let mut sights = self.sights.borrow_mut();
+            let s = sights.entry(server.into()).or_default();
+            s.open = None;
+            s.fails = 0;
+            s.refused = 0;
+            let Some(place) = place else { return };
+            if s.at.is_none_or(|t| asked >= t) {
+                s.place = place;
+            }
+            s.at = Some(now);
+        }
+        let Some(place) = place else { return };
+        let (group, leads, from) = {
+            let view = self.journal.view();
+            let Some(g) = view.image.as_ref().and_then(|i| i.home(server)) else { return };
+            // A head is one that was read while no other's commit could be acknowledged.
+            let lead = view.leads.get(&g.name).filter(|l| l.server == server && now < l.until && asked >= l.since);
+            (g.name.clone(), lead.is_some(), Position::default())
+        };
+        let known = self.heads.borrow().get(&group).and_then(|h| h.iter().rev().find(|x| x.0 <= asked).copied());
+        if let (Some((_, head)), Some(s)) = (known, self.sights.borrow_mut().get_mut(server)) {
+            s.lag = if place.line < head.line { head.index.saturating_sub(place.index) } else { lag(head, place, from) };
+        }
+        if leads {
+            let mut heads = self.heads.borrow_mut();
+            let list = heads.entry(group).or_default();
+            let step = self.bounds.borrow().sample() / 4;
+            if list.back().is_none_or(|b| asked >= b.0 + step) {
+                list.push_back((asked, place));
+                if list.len() > HEADS {
+                    list.pop_front();
+                }
+            }
+        }
+        self.moved.ring();
+    }
+
     /// The oldest reading of the group's head that was asked for at `from` or later.
     pub fn head(&self, group: &str, from: Duration) -> Option<(Duration, Position)> {
         self.heads.borrow().get(group)?.iter().find(|h| h.0 >= from).copied()
--- a/spoke/src/gauge/sample.rs
+++ b/spoke/src/gauge/sample.rs
@@ -3,6 +3,7 @@
 use base::{
     edge::backend,
     seam::{Job, Part},
+    talk::{Act, Said},
     words::Position,
 };
 use bytes::Bytes;
@@ -28,7 +29,47 @@
         }
     }
 
+    /// Reads a server in the users' manner where nothing else was heard of it for a while: the leader within a part of
+    /// the freshness bound, the others a few times within the drain bound.
+    async fn listen(&self, pool: Rc<Pool>) {
+        let server = pool.server.clone();
+        let said = Said::own(Act::Place);
+        loop {
+            let (step, span, rare) = {
+                let b = self.bounds.borrow();
+                (b.sample(), b.call(), b.missed())
+            };
+            self.env.sleep(step / 2).await;
+            let now = self.env.now();
+            let leads = self.journal.view().leads.values().any(|l| l.server == server);
+            let x = self.sight(&server);
+            let due = if leads { step } else { rare };
+            let heard = x.at.is_some_and(|t| now < t + due) && x.open.is_none_or(|t| now < t + step);
+            if heard || pool.limit() == 0 {
+                continue;
+            }
+            self.sent(&server);
+            let start = self.env.now();
+            let Ok(mut slot) = pool.get(start + span).await else {
+                self.missed(&server, self.env.now() - start < span / 4);
+                continue;
+            };
+            let asked = self.env.now();
+            self.reads.set(self.reads.get() + 1);
+            match slot.say(&said, None, asked + span).await {
+                Ok(reply) => {
+                    self.record_probe(&server, true);
+                    self.answered(&server, asked, reply.place);
+                }
+                Err(_) => self.missed(&server, false),
+            }
+        }
+    }
+
     async fn sample(&self, pool: Rc<Pool>) {
+        if pool.speech.is_some() {
+            return self.listen(pool).await;
+        }
         let server = pool.server.clone();
         loop {
             let step = self.bounds.borrow().sample();
--- a/spoke/src/lib.rs
+++ b/spoke/src/lib.rs
@@ -5,7 +5,8 @@
 mod gauge;
 mod pool;
 pub mod run;
+mod talk;
 mod view;
 mod work;
 
-pub use run::{Spoke, Tricks, run};
+pub use run::{Spoke, Tricks, run, run_in};
--- a/spoke/src/pool/mod.rs
+++ b/spoke/src/pool/mod.rs
@@ -4,13 +4,18 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
-use base::{Kind, http::Client, seam::Env};
+use base::{
+    Kind,
+    http::Client,
+    seam::Env,
+    talk::{Line, Manner},
+};
 use futures::channel::oneshot;
 
 pub use slot::Slot;
@@ -23,11 +28,36 @@
     pub count: usize,
 }
 
+/// Session values and prepared names that a connection in the users' manner wears.
+#[derive(Debug, Default)]
+pub struct Worn {
+    values: BTreeMap<String, String>,
+    /// By what was prepared, the name it has on this connection; callers' own names clash.
+    names: BTreeMap<String, String>,
+}
+
+enum Link {
+    Http(Client),
+    Talk(Box<dyn Line>, Worn),
+}
+
+impl Link {
+    fn open(&self) -> bool {
+        match self {
+            Link::Http(c) => c.open(),
+            Link::Talk(l, _) => l.open(),
+        }
+    }
+}
+
 struct Conn {
-    line: Client,
+    line: Link,
     dress: Option<Dress>,
 }
 
+/// How sessions in the users' manner are opened: the manner and the group's name.
+pub type Speech = Option<(Rc<dyn Manner>, String)>;
+
 /// The connections to one server.
 pub struct Pool {
     env: Env,
@@ -40,6 +70,7 @@
     idle: RefCell<Vec<Conn>>,
     inbox: RefCell<VecDeque<oneshot::Sender<Slot>>>,
     most: usize,
+    pub speech: Speech,
     /// How many connections were opened.
     pub opened: Cell<u64>,
     /// How many requests were turned away because the inbox was full.
@@ -48,7 +79,7 @@
 
 impl Pool {
     /// A pool that may open nothing yet.
-    pub fn new(env: &Env, server: &str, addr: SocketAddr, most: usize) -> Rc<Self> {
+    pub fn new(env: &Env, server: &str, addr: SocketAddr, most: usize, speech: Speech) -> Rc<Self> {
         Rc::new(Self {
             env: env.clone(),
             server: server.into(),
@@ -60,6 +91,7 @@
             idle: RefCell::default(),
             inbox: RefCell::default(),
             most,
+            speech,
             opened: Cell::new(0),
             full: Cell::new(0),
         })
--- a/spoke/src/pool/slot.rs
+++ b/spoke/src/pool/slot.rs
@@ -1,17 +1,22 @@
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use base::{
     Kind,
     edge::{backend, caller::Verb},
     http::{Client, Fault, Return},
+    talk::{Act, Reply, Said, Verdict},
+    words::Position,
 };
 use bytes::Bytes;
 
-use super::{Conn, Dress, Pool};
+use super::{Conn, Dress, Link, Pool, Worn};
 
 /// The largest body a server may answer with.
 const MOST: usize = 8 << 20;
 
+/// How many prepared statements a connection keeps before it forgets them all.
+const NAMES: usize = 64;
+
 /// The right to one connection; gives it back when dropped.
 pub struct Slot {
     pool: Rc<Pool>,
@@ -36,10 +41,21 @@
             return Ok(());
         }
         let span = due.saturating_sub(self.pool.env.now());
+        if let Some((manner, group)) = &self.pool.speech {
+            let line = manner.open(&self.pool.env, self.pool.addr, group, &self.pool.server);
+            return match self.pool.env.within(span, line).await {
+                Ok(Ok(line)) => {
+                    self.pool.opened.set(self.pool.opened.get() + 1);
+                    self.conn = Some(Conn { line: Link::Talk(line, Worn::default()), dress: None });
+                    Ok(())
+                }
+                _ => Err(Kind::NoServer),
+            };
+        }
         match Client::connect(&self.pool.env, self.pool.addr, span, MOST).await {
             Ok(line) => {
                 self.pool.opened.set(self.pool.opened.get() + 1);
-                self.conn = Some(Conn { line, dress: None });
+                self.conn = Some(Conn { line: Link::Http(line), dress: None });
                 Ok(())
             }
             Err(_) => Err(Kind::NoServer),
@@ -60,15 +76,78 @@
         due: Duration,
     ) -> Result<Return, Fault> {
         let span = due.saturating_sub(self.pool.env.now());
-        let Some(conn) = &mut self.conn else { return Err(Fault::Unsent) };
+        let Some(Conn { line: Link::Http(line), .. }) = &mut self.conn else { return Err(Fault::Unsent) };
         let method = if path.starts_with(backend::PLACE) { "GET" } else { "POST" };
         // Spoilt until answered: a task dropped half-way leaves a connection in an unknown state.
         let was = std::mem::replace(&mut self.spoilt, true);
-        let out = conn.line.call(method, path, head, body, span).await?;
+        let out = line.call(method, path, head, body, span).await?;
         self.spoilt = was || out.close;
         Ok(out)
     }
 
+    /// Says one statement in the users' manner; without a whole answer the connection is never used again.
+    pub async fn say(&mut self, said: &Said, after: Option<Position>, due: Duration) -> Result<Reply, Fault> {
+        let span = due.saturating_sub(self.pool.env.now());
+        let Some(Conn { line: Link::Talk(line, _), .. }) = &mut self.conn else { return Err(Fault::Unsent) };
+        let was = std::mem::replace(&mut self.spoilt, true);
+        let out = self.pool.env.within(span, line.say(said, after)).await.map_err(|_| Fault::Unsure)??;
+        self.spoilt = was;
+        Ok(out)
+    }
+
+    fn worn(&mut self) -> Option<&mut Worn> {
+        match &mut self.conn {
+            Some(Conn { line: Link::Talk(_, w), .. }) => Some(w),
+            _ => None,
+        }
+    }
+
+    /// A statement of the product's own that has to be done before the caller's can be.
+    async fn ready(&mut self, act: Act, name: &str, text: &str, due: Duration) -> Result<(), Fault> {
+        let said = Said { name: name.into(), text: text.into(), ..Said::own(act) };
+        match self.say(&said, None, due).await?.verdict {
+            Verdict::Done(_) => Ok(()),
+            _ => {
+                self.spoil();
+                Err(Fault::Unsent)
+            }
+        }
+    }
+
+    /// Makes the connection wear exactly these session values, and know one prepared statement if there is one; gives
+    /// the name that it has here.
+    pub async fn wear(
+        &mut self,
+        values: &BTreeMap<String, String>,
+        prepared: Option<(&str, bool)>,
+        due: Duration,
+    ) -> Result<String, Fault> {
+        let Some(worn) = self.worn() else { return Err(Fault::Unsent) };
+        if worn.values.keys().any(|k| !values.contains_key(k)) || worn.names.len() > NAMES {
+            *worn = Worn::default();
+            self.ready(Act::Wipe, "", "", due).await?;
+        }
+        for (k, v) in values {
+            if self.worn().is_some_and(|w| w.values.get(k) != Some(v)) {
+                self.ready(Act::Set, k, v, due).await?;
+                if let Some(w) = self.worn() {
+                    w.values.insert(k.clone(), v.clone());
+                }
+            }
+        }
+        let Some((text, writes)) = prepared else { return Ok(String::new()) };
+        let Some(worn) = self.worn() else { return Err(Fault::Unsent) };
+        if let Some(n) = worn.names.get(text) {
+            return Ok(n.clone());
+        }
+        let name = format!("n{}", worn.names.len());
+        self.ready(Act::Prepare { writes }, &name, text, due).await?;
+        if let Some(w) = self.worn() {
+            w.names.insert(text.into(), name.clone());
+        }
+        Ok(name)
+    }
+
     /// Makes the connection wear exactly this session's state: wiped of any other, replayed where missing.
     pub async fn dress(&mut self, want: &Dress, state: &[(Verb, Bytes)], due: Duration) -> Result<(), Fault> {
         let has = self.conn.as_ref().and_then(|c| c.dress.clone());
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -13,6 +13,7 @@
     http::{self, Door, Session},
     seam::{Env, Part},
     settings::{Place, PolicySettings},
+    talk::{Host, Manner},
     tree::Tree,
 };
 use wire::{
@@ -26,6 +27,7 @@
     gauge::Gauges,
     pool::Pool,
     view::{Event, Journal},
+    talk::Talks,
     work::{Caller, Works},
 };
 
@@ -68,6 +70,7 @@
 pub struct Pools {
     env: Env,
     most: usize,
+    manner: Option<Rc<dyn Manner>>,
     map: RefCell<BTreeMap<String, Rc<Pool>>>,
     tricks: Tricks,
     /// Rung when a pool came or went.
@@ -75,8 +78,8 @@
 }
 
 impl Pools {
-    fn new(env: &Env, most: usize, tricks: Tricks) -> Rc<Self> {
-        Rc::new(Self { env: env.clone(), most, tricks, map: RefCell::default(), bell: Bell::default() })
+    fn new(env: &Env, most: usize, tricks: Tricks, manner: Option<Rc<dyn Manner>>) -> Rc<Self> {
+        Rc::new(Self { env: env.clone(), most, manner, tricks, map: RefCell::default(), bell: Bell::default() })
     }
 
     /// The pool of a server.
@@ -128,7 +131,13 @@
             for (name, s) in view.servers.iter().filter(|(n, _)| allowed(n)) {
                 let Ok(addr) = s.addr.parse() else { continue };
                 if !map.contains_key(name) {
-                    map.insert(name.clone(), Pool::new(&self.env, name, addr, self.most));
+                    let home = view.image.as_ref().and_then(|i| i.home(name)).filter(|g| g.confirms);
+                    let speech = match (home, &self.manner) {
+                        (Some(g), Some(m)) => Some((m.clone(), g.name.clone())),
+                        (Some(_), None) => continue,
+                        _ => None,
+                    };
+                    map.insert(name.clone(), Pool::new(&self.env, name, addr, self.most, speech));
                     moved = true;
                 }
             }
@@ -168,7 +177,11 @@
             beat.shares.push(Held { server: name.clone(), count, want: pool.want() as u64 });
             if pool.limit() > 0 {
                 let x = self.gauges.sight(&name);
-                let age = x.at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64);
+                let age = match pool.speech {
+                    // How long a question stands unanswered: silence tells nothing where nothing was asked.
+                    Some(_) => x.open.map_or(0, |t| now.saturating_sub(t).as_millis() as u64),
+                    None => x.at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64),
+                };
                 beat.sights.push(Sight {
                     server: name,
                     age,
@@ -219,6 +232,16 @@
 
 /// Starts a spoke; it runs for as long as the returned value lives.
 pub async fn run(env: &Env, place: &Place, tricks: Tricks) -> std::io::Result<Spoke> {
+    run_in(env, place, tricks, None).await
+}
+
+/// Starts a spoke that speaks to servers which confirm commits in the users' manner.
+pub async fn run_in(
+    env: &Env,
+    place: &Place,
+    tricks: Tricks,
+    manner: Option<Rc<dyn Manner>>,
+) -> std::io::Result<Spoke> {
     let who = Who {
         name: place.name.clone(),
         area: place.area.clone(),
@@ -232,7 +255,7 @@
     let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(place.http).await?)));
     let bounds = place.bounds.clone();
     let journal = Journal::new(env);
-    let pools = Pools::new(env, place.most_inbox, tricks);
+    let pools = Pools::new(env, place.most_inbox, tricks, manner);
     let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone(), tricks.grow);
     let relay = Relay::new(env, who.clone(), bounds.clone());
     relay.lead(Rc::new(Node {
@@ -252,6 +275,7 @@
         gauges: gauges.clone(),
         pools: pools.clone(),
         bounds: bounds.clone(),
+        keep_on: place.keep_on,
         tricks,
     };
     let works = Rc::new(Works {
@@ -318,6 +342,18 @@
         }
     }
 
+    /// Where a door in the users' manner opens its sessions.
+    pub fn host(&self) -> Rc<dyn Host> {
+        Rc::new(Talks { works: self.works.clone() })
+    }
+
+    /// Hands everything back, once the doors of the users' manner are closed.
+    pub async fn hand_back(&self) {
+        self.door.end();
+        self.relay.leave();
+        self.env.sleep(self.bounds.pulse()).await;
+    }
+
     /// How many sessions were ever opened.
     pub fn sessions(&self) -> u64 {
         self.works.tally.sessions.get()
--- /dev/null
+++ b/spoke/src/talk/mod.rs
@@ -0,0 +1,42 @@
+//! Sessions in the users' manner: what a caller says is answered here, or brought to the server that the decision object
+//! names. Values and prepared names live in the session and are worn by whichever connection serves it.
+
+mod read;
+mod seat;
+mod send;
+mod trans;
+mod write;
+
+use std::rc::Rc;
+
+use base::{
+    Kind,
+    talk::{Fail, Host, Seat},
+};
+
+use crate::work::{Works, bump};
+
+/// Where doors open sessions.
+pub struct Talks {
+    pub works: Rc<Works>,
+}
+
+impl Host for Talks {
+    fn seat(&self, name: &str) -> Result<Rc<dyn Seat>, Fail> {
+        match self.works.decider.gate(name) {
+            Ok(_) => {}
+            Err(Kind::NoDatabase) => return Err(Fail::no(Kind::NoDatabase)),
+            Err(k) => return Err(Fail::no(k)),
+        }
+        bump(&self.works.tally.sessions);
+        Ok(Rc::new(seat::Guest::new(&self.works, name)))
+    }
+
+    fn ready(&self) -> bool {
+        let view = self.works.journal.view();
+        let Some(image) = &view.image else { return false };
+        let now = self.works.env.now();
+        let served = image.groups.iter().filter(|g| view.leads.get(&g.name).is_some_and(|l| now < l.until)).count();
+        self.works.decider.confirmed() && (served * 2 >= image.groups.len() || served > 0)
+    }
+}
--- /dev/null
+++ b/spoke/src/talk/send.rs
@@ -0,0 +1,103 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{
+    Kind,
+    http::Fault,
+    talk::{Refused, Reply, Said, Verdict},
+    words::Position,
+};
+use pick::Outcome;
+
+use super::seat::Stock;
+use crate::{decide::Gate, gauge::Key, pool::Slot, work::Works};
+
+/// What a connection has to wear for a statement.
+#[derive(Clone, Default)]
+pub struct Guise {
+    values: BTreeMap<String, String>,
+    prepared: Option<(bool, String)>,
+}
+
+impl Guise {
+    /// As the session stands.
+    pub fn of(stock: &Stock, said: &Said) -> Self {
+        Self { values: stock.values.clone(), prepared: stock.prepared(said) }
+    }
+}
+
+/// Why a send brought no answer that can be used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Miss {
+    /// Nothing of it was run.
+    Unrun(Kind),
+    /// It was run and failed.
+    Failed(Kind),
+    /// It may have been run.
+    Unsure,
+}
+
+impl Works {
+    /// Says one statement to a server on a connection that wears what it must; notes how it went.
+    pub async fn utter(
+        &self,
+        slot: &mut Slot,
+        key: &Key,
+        said: &Said,
+        guise: &Guise,
+        after: Option<Position>,
+        due: Duration,
+    ) -> Result<Reply, Miss> {
+        let server = slot.server().to_string();
+        let asked = self.env.now();
+        self.gauges.sent(&server);
+        let prepared = guise.prepared.as_ref().map(|(w, t)| (t.as_str(), *w));
+        let name = slot.wear(&guise.values, prepared, due).await.map_err(|_| {
+            self.gauges.record(key, &server, Outcome::Error, self.env.now() - asked);
+            Miss::Unrun(Kind::NoServer)
+        })?;
+        let renamed;
+        let said = if name.is_empty() {
+            said
+        } else {
+            renamed = Said { name, ..said.clone() };
+            &renamed
+        };
+        let out = slot.say(said, after, due).await;
+        let took = self.env.now() - asked;
+        let reply = match out {
+            Ok(r) => r,
+            Err(fault) => {
+                self.gauges.record(key, &server, Outcome::Error, took);
+                return Err(if fault == Fault::Unsent { Miss::Unrun(Kind::NoServer) } else { Miss::Unsure });
+            }
+        };
+        self.gauges.answered(&server, asked, reply.place);
+        let (end, miss) = match &reply.verdict {
+            Verdict::Done(_) => (Outcome::Good, None),
+            Verdict::Refused(Refused::Busy) => (Outcome::Throttled, Some(Miss::Unrun(Kind::Full))),
+            Verdict::Refused(Refused::Behind) => (Outcome::Good, Some(Miss::Unrun(Kind::NoServer))),
+            Verdict::Refused(Refused::Follows) => (Outcome::Good, Some(Miss::Unrun(Kind::NoLeader))),
+            Verdict::Refused(Refused::Other | Refused::Nameless) => {
+                slot.spoil();
+                (Outcome::Error, Some(Miss::Unrun(Kind::NoServer)))
+            }
+            Verdict::Failed => (Outcome::Error, Some(Miss::Failed(Kind::Failed))),
+            Verdict::Expired => (Outcome::Error, Some(Miss::Failed(Kind::Due))),
+        };
+        self.gauges.record(key, &server, end, took);
+        miss.map_or(Ok(reply), Err)
+    }
+
+    /// How long a statement of a doorway may take, and how long it may wait for somebody to take it: a quarter of how
+    /// soon an answer is wanted. What is given up on is told at once.
+    pub fn spans(&self, gate: &Gate) -> (Duration, Duration) {
+        let most = gate.most.unwrap_or_else(|| self.decider.limit().0);
+        (most, gate.aim.unwrap_or(most) / 4)
+    }
+
+    /// Rests until something moved or a moment has passed.
+    pub async fn pause(&self) {
+        let seen = self.journal.bell.count();
+        let _ = self.env.within(self.decider.bounds.pulse() / 20, self.journal.bell.after(seen)).await;
+    }
+}
--- /dev/null
+++ b/spoke/src/talk/trans.rs
@@ -0,0 +1,265 @@
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use base::{
+    Kind,
+    edge::operator::Promise,
+    error::Kept,
+    seam::Job,
+    talk::{Act, Fail, Phase, Said, Told, Verdict},
+};
+
+use super::{
+    read::floor,
+    seat::{Stock, told},
+    send::{Guise, Miss},
+};
+use crate::{
+    decide::{Basis, Gate, Order},
+    gauge::Key,
+    pool::Slot,
+    work::{Works, bump},
+};
+
+/// A transaction that was opened at a server, on a connection of its own.
+pub struct Trans {
+    slot: Slot,
+    key: Key,
+    gate: Gate,
+    wrote: bool,
+    idle: Option<Job>,
+}
+
+impl Works {
+    /// Rolls back at the server; a connection that doesn't show it did is closed.
+    pub async fn undo(&self, mut t: Trans) {
+        let due = self.env.now() + self.decider.bounds.call();
+        let out = t.slot.say(&Said::own(Act::Rollback), None, due).await;
+        if !matches!(&out, Ok(r) if r.phase == Phase::Idle && matches!(r.verdict, Verdict::Done(_))) {
+            t.slot.spoil();
+        }
+    }
+
+    /// Ends the transaction if nothing comes within the operator's limit.
+    pub(super) fn rest(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>) {
+        let (_, idle) = self.decider.limit();
+        let (me, weak) = (self.clone(), Rc::downgrade(stock));
+        let Some(t) = &mut stock.borrow_mut().trans else { return };
+        t.idle = Some(self.env.spawn(async move {
+            me.env.sleep(idle).await;
+            let Some(stock) = weak.upgrade() else { return };
+            let t = {
+                let mut s = stock.borrow_mut();
+                s.phase = Phase::Failed;
+                s.ended = true;
+                s.begun = None;
+                s.trans.take()
+            };
+            if let Some(mut t) = t {
+                if let Some(j) = t.idle.take() {
+                    // This very task: it must not end itself.
+                    j.detach();
+                }
+                me.undo(t).await;
+            }
+        }));
+    }
+
+    /// A statement of an open transaction; the first one opens it at a server.
+    pub(super) async fn within_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: &Said, writes: bool) -> Told {
+        let held = stock.borrow_mut().trans.take();
+        let guise = Guise::of(&stock.borrow(), said);
+        let (mut t, due) = match held {
+            Some(mut t) => {
+                t.idle = None;
+                let (most, _) = self.spans(&t.gate);
+                let due = self.env.now() + most;
+                (t, due)
+            }
+            None => {
+                let begun = stock.borrow().begun.clone();
+                let Some(begun) = begun else { return self.fail(stock, Fail::no(Kind::Order)) };
+                return self.first(stock, &begun, said, writes, &guise).await;
+            }
+        };
+        t.wrote |= writes;
+        let out = self.utter(&mut t.slot, &t.key, said, &guise, None, self.soon(&t.gate, due)).await;
+        self.within_end(stock, t, out)
+    }
+
+    /// When an answer inside a transaction is given up on. Nothing of it is kept before its commit, so its caller may
+    /// make it again whole, and had better soon.
+    fn soon(&self, gate: &Gate, due: Duration) -> Duration {
+        gate.aim.map_or(due, |a| due.min(self.env.now() + a * 2))
+    }
+
+    fn within_end(
+        self: &Rc<Self>,
+        stock: &Rc<RefCell<Stock>>,
+        t: Trans,
+        out: Result<base::talk::Reply, Miss>,
+    ) -> Told {
+        match out {
+            Ok(reply) => {
+                let Verdict::Done(mark) = reply.verdict else { return self.fail(stock, Fail::no(Kind::Lost)) };
+                stock.borrow_mut().trans = Some(t);
+                self.rest(stock);
+                Told { rows: reply.rows, ..told(Ok(mark), reply.place) }
+            }
+            Err(_) => {
+                // Its commit was never sent: whatever became of this statement, nothing of the transaction is kept.
+                stock.borrow_mut().trans = Some(t);
+                bump(&self.tally.refused);
+                self.fail(stock, Fail::no(Kind::Lost))
+            }
+        }
+    }
+
+    /// Opens the transaction and says its first statement; both again elsewhere while that was surely not run.
+    async fn first(
+        self: &Rc<Self>,
+        stock: &Rc<RefCell<Stock>>,
+        begun: &Said,
+        said: &Said,
+        writes: bool,
+        guise: &Guise,
+    ) -> Told {
+        let name = stock.borrow().name.clone();
+        let gate = match self.decider.gate(&name) {
+            Ok(g) => g,
+            Err(k) => return self.fail(stock, Fail::no(k)),
+        };
+        if let Err(k) = self.decider.admit() {
+            bump(&self.tally.refused);
+            return self.fail(stock, Fail::no(k));
+        }
+        let (most, patience) = self.spans(&gate);
+        let start = self.env.now();
+        let due = start + most;
+        let key = self.gauges.key(&name, "");
+        let mut tried = Vec::new();
+        loop {
+            let opened = self.open_trans(stock, &gate, &key, begun, due, &mut tried).await;
+            let kind = match opened {
+                Err(k) => k,
+                Ok(slot) => {
+                    let mut t = Trans { slot, key: key.clone(), gate: gate.clone(), wrote: writes, idle: None };
+                    let out = self.utter(&mut t.slot, &key, said, guise, None, self.soon(&gate, due)).await;
+                    match out {
+                        Err(Miss::Unrun(k)) if said.act != Act::Commit => {
+                            self.undo(t).await;
+                            k
+                        }
+                        out if said.act == Act::Commit => return self.commit_end(stock, t, out),
+                        out => return self.within_end(stock, t, out),
+                    }
+                }
+            };
+            if self.env.now() >= start + patience {
+                bump(&self.tally.refused);
+                return self.fail(stock, Fail::no(kind));
+            }
+            bump(&self.tally.retried);
+            self.pause().await;
+        }
+    }
+
+    /// A connection on which the transaction was opened: at the leader, or where it only reads and the doorway allows it,
+    /// where a read may go.
+    async fn open_trans(
+        &self,
+        stock: &Rc<RefCell<Stock>>,
+        gate: &Gate,
+        key: &Key,
+        begun: &Said,
+        due: Duration,
+        tried: &mut Vec<String>,
+    ) -> Result<Slot, Kind> {
+        let reads = begun.act == Act::Begin { reads: true };
+        let own = stock.borrow().own;
+        let (mut slot, target) = if reads && gate.promise != Promise::Leader {
+            let target = match self.decider.spot(gate, key, own, tried) {
+                Order::Send(t) => t,
+                Order::Return(k) => {
+                    tried.clear();
+                    return Err(k);
+                }
+            };
+            tried.push(target.server.clone());
+            let pool = self.pools.get(&target.server).ok_or(Kind::NoServer)?;
+            let slot = pool.get(due).await?;
+            let lead = matches!(target.basis, Basis::Leader { .. });
+            if !self.decider.open(&target) || (lead && !self.decider.leads(&target)) {
+                return Err(Kind::NoLeader);
+            }
+            (slot, target)
+        } else {
+            self.lead_slot(&gate.group, due).await?
+        };
+        let own = Said { id: String::new(), ..begun.clone() };
+        match self.utter(&mut slot, key, &own, &Guise::of(&stock.borrow(), &own), floor(&target), due).await {
+            Ok(_) => Ok(slot),
+            Err(Miss::Unrun(k)) => {
+                slot.spoil();
+                Err(k)
+            }
+            Err(_) => {
+                slot.spoil();
+                Err(Kind::NoServer)
+            }
+        }
+    }
+
+    /// Commits; only a server's own word makes it a success.
+    pub(super) async fn commit(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: &Said) -> Told {
+        let held = stock.borrow_mut().trans.take();
+        let Some(mut t) = held else {
+            // Nothing was said in it; even so the answer has to be a server's.
+            let begun = stock.borrow().begun.clone();
+            let Some(begun) = begun else { return self.fail(stock, Fail::no(Kind::Order)) };
+            let guise = Guise::of(&stock.borrow(), said);
+            let out = self.first(stock, &begun, said, false, &guise).await;
+            if out.end.is_err() {
+                stock.borrow_mut().phase = Phase::Idle;
+            }
+            return out;
+        };
+        t.idle = None;
+        let (most, _) = self.spans(&t.gate);
+        let due = self.env.now() + most;
+        let guise = Guise::of(&stock.borrow(), said);
+        let out = self.utter(&mut t.slot, &t.key, said, &guise, None, due).await;
+        self.commit_end(stock, t, out)
+    }
+
+    fn commit_end(
+        self: &Rc<Self>,
+        stock: &Rc<RefCell<Stock>>,
+        mut t: Trans,
+        out: Result<base::talk::Reply, Miss>,
+    ) -> Told {
+        let mut s = stock.borrow_mut();
+        s.phase = Phase::Idle;
+        s.begun = None;
+        match out {
+            Ok(reply) => {
+                if reply.phase != Phase::Idle {
+                    t.slot.spoil();
+                }
+                let Verdict::Done(mark) = reply.verdict else { return told(Err(Fail::unsure(Kind::Unknown)), None) };
+                if let Some(p) = reply.place.filter(|_| t.wrote) {
+                    s.own = s.own.max(p);
+                }
+                Told { rows: reply.rows, ..told(Ok(mark), reply.place) }
+            }
+            Err(miss) => {
+                t.slot.spoil();
+                // What wrote nothing has nothing that could be kept.
+                let certain = !t.wrote || matches!(miss, Miss::Unrun(_));
+                bump(if certain { &self.tally.refused } else { &self.tally.unknown });
+                let kind = if certain { Kind::Lost } else { Kind::Unknown };
+                let kept = if certain { Kept::No } else { Kept::Unknown };
+                told(Err(Fail { kept, ..Fail::no(kind) }), None)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/spoke/src/talk/write.rs
@@ -0,0 +1,77 @@
+use std::{cell::RefCell, rc::Rc};
+
+use base::{
+    Kind,
+    talk::{Fail, Said, Told, Verdict},
+};
+
+use super::{
+    seat::{Stock, told},
+    send::{Guise, Miss},
+};
+use crate::{
+    decide::Target,
+    pool::Slot,
+    work::{Works, bump},
+};
+
+impl Works {
+    /// A single write. It is sent again only where it surely was not run; once its bytes may have left and no answer came,
+    /// what became of it can't be told.
+    pub(super) async fn write_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: &Said) -> Told {
+        bump(&self.tally.writes);
+        let name = stock.borrow().name.clone();
+        let no = |kind: Kind| told(Err(Fail::no(kind)), None);
+        let gate = match self.decider.gate(&name) {
+            Ok(g) => g,
+            Err(k) => return no(k),
+        };
+        if let Err(k) = self.decider.admit() {
+            bump(&self.tally.refused);
+            return no(k);
+        }
+        let (most, patience) = self.spans(&gate);
+        let start = self.env.now();
+        let due = start + most;
+        let key = self.gauges.key(&name, "");
+        let guise = Guise::of(&stock.borrow(), said);
+        loop {
+            let kind = match self.lead_slot(&gate.group, due).await {
+                Err(k) => k,
+                Ok((mut slot, _)) => match self.utter(&mut slot, &key, said, &guise, None, due).await {
+                    Ok(reply) => {
+                        let Verdict::Done(mark) = reply.verdict else { return no(Kind::Failed) };
+                        if let Some(p) = reply.place {
+                            let mut s = stock.borrow_mut();
+                            s.own = s.own.max(p);
+                        }
+                        return Told { rows: reply.rows, ..told(Ok(mark), reply.place) };
+                    }
+                    Err(Miss::Unrun(k)) => k,
+                    Err(Miss::Failed(k)) => return told(Err(Fail::unsure(k)), None),
+                    Err(Miss::Unsure) => {
+                        bump(&self.tally.unknown);
+                        return told(Err(Fail::unsure(Kind::Unknown)), None);
+                    }
+                },
+            };
+            if self.env.now() >= start + patience {
+                bump(&self.tally.refused);
+                return no(kind);
+            }
+            bump(&self.tally.retried);
+            self.pause().await;
+        }
+    }
+
+    /// A connection to the leader, under a leave that stands.
+    pub(super) async fn lead_slot(&self, group: &str, due: std::time::Duration) -> Result<(Slot, Target), Kind> {
+        let target = self.decider.lead(group)?;
+        let pool = self.pools.get(&target.server).ok_or(Kind::NoServer)?;
+        let slot = pool.get(due).await?;
+        if !self.decider.leads(&target) || !self.decider.open(&target) {
+            return Err(Kind::NoLeader);
+        }
+        Ok((slot, target))
+    }
+}
--- a/spoke/src/view/fold.rs
+++ b/spoke/src/view/fold.rs
@@ -15,7 +15,9 @@
                     .into_iter()
                     .map(|l| {
                         let until = sent + Duration::from_millis(l.span);
-                        (l.group, Lead { server: l.server, line: l.line, until })
+                        let old = self.leads.get(&l.group).filter(|o| o.server == l.server && now < o.until);
+                        let since = old.map_or(now, |o| o.since);
+                        (l.group, Lead { server: l.server, line: l.line, until, since })
                     })
                     .collect();
                 let moved = leads.iter().any(|(g, l)| self.leads.get(g).is_none_or(|o| o.line != l.line))
--- a/spoke/src/view/mod.rs
+++ b/spoke/src/view/mod.rs
@@ -47,6 +47,8 @@
     pub server: String,
     pub line: u64,
     pub until: Duration,
+    /// Since when leave to act on this leader was held without a break.
+    pub since: Duration,
 }
 
 /// Folded from all events so far.
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -23,6 +23,25 @@
     /// The servers' logs that quorums are made of.
     #[prost(message, repeated, tag = "8")]
     pub logs: Vec<Log>,
+    /// The operators' own number of the set in force.
+    #[prost(uint64, tag = "9")]
+    pub number: u64,
+    /// The newest sets that were taken, so that one sent again is known.
+    #[prost(message, repeated, tag = "10")]
+    pub taken: Vec<Taken>,
+    /// The operators' own form of what is said of the whole set.
+    #[prost(string, tag = "11")]
+    pub note: String,
+}
+
+/// A set or change that was taken.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Taken {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// A sum of what was sent.
+    #[prost(uint64, tag = "2")]
+    pub sum: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -35,6 +54,18 @@
     pub promise: String,
     #[prost(bool, tag = "4")]
     pub fall: bool,
+    #[prost(string, tag = "5")]
+    pub tag: String,
+    #[prost(uint64, tag = "6")]
+    pub statement_ms: u64,
+    #[prost(uint64, tag = "7")]
+    pub aim_ms: u64,
+    #[prost(uint64, tag = "8")]
+    pub fresh_ms: u64,
+    #[prost(uint64, tag = "9")]
+    pub rank: u64,
+    #[prost(string, tag = "10")]
+    pub note: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -48,6 +79,11 @@
     /// Servers taken out that still count until all they may alone hold is held elsewhere.
     #[prost(string, repeated, tag = "4")]
     pub leavers: Vec<String>,
+    /// The servers confirm commits and make themselves known.
+    #[prost(bool, tag = "5")]
+    pub confirms: bool,
+    #[prost(string, tag = "6")]
+    pub note: String,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -222,6 +222,15 @@
     pub leads: bool,
     #[prost(uint64, tag = "8")]
     pub line: u64,
+    /// The group it makes itself known for, if it does.
+    #[prost(string, tag = "9")]
+    pub group: String,
+    /// The count of its newest report.
+    #[prost(uint64, tag = "10")]
+    pub turn: u64,
+    /// It said that it ends.
+    #[prost(bool, tag = "11")]
+    pub left: bool,
 }
 
 /// A node as its session tells of it.
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -307,7 +307,7 @@
     /// Answers an outer request by what the leading hub says. Without its word a read is refused, and so is a server's
     /// report, which is simply made again; of anything else the outcome is unknown.
     pub async fn pass(&self, ask: http::Ask) -> http::Return {
-        let read = ask.method == "GET" || ask.path == "/report";
+        let read = ask.method == "GET" || ask.path.starts_with("/report");
         let span = self.bounds().call() * 3;
         match self.ask(ask.method.as_str(), &ask.path, ask.body, span).await {
             Some(r) => {
