--- a/base/src/bounds.rs
+++ b/base/src/bounds.rs
@@ -57,9 +57,9 @@
         self.grant() * 11 / 10
     }
 
-    /// How often hubs beat to each other: a fifteenth of the blueprint bound.
+    /// How often hubs beat to each other: a twenty-fourth of the blueprint bound.
     pub fn pulse(&self) -> Duration {
-        ms(self.blueprint / 15)
+        ms(self.blueprint / 24)
     }
 
     /// How long a hub holds to a leading hub it heard: three pulses.
--- a/hub/src/agree/campaign.rs
+++ b/hub/src/agree/campaign.rs
@@ -10,7 +10,7 @@
         let (leading, blank, due, lost) = {
             let s = self.state.borrow();
             let leading = s.role == Role::Leading;
-            let patience = self.bounds.hold() * 4;
+            let patience = self.bounds.hold() * 3 / 2;
             let heard = s.heard(&self.who.name, &self.env).unwrap_or(s.led_since).max(s.led_since);
             let due = match &s.role {
                 Role::Following => now >= s.hold,
@@ -21,8 +21,9 @@
             (leading, s.blank, due && !s.leaving, lost)
         };
         if lost {
-            self.follow("");
-            self.state.borrow_mut().hold = now + self.bounds.pulse();
+            // It may still be heard where it hears nobody: whoever hears it need not wait for silence.
+            self.log("no majority answers");
+            self.name_successor();
         } else if leading {
             self.readmit(store).await;
             self.pulse();
--- a/hub/src/agree/desk.rs
+++ b/hub/src/agree/desk.rs
@@ -163,7 +163,7 @@
         }
     }
 
-    fn name_successor(&self) {
+    pub(super) fn name_successor(&self) {
         let (next, term) = {
             let s = self.state.borrow();
             if s.role != Role::Leading {
@@ -178,7 +178,7 @@
             (next, s.kept.term)
         };
         self.follow("");
-        self.state.borrow_mut().hold = self.env.now() + self.bounds.hold() * 10;
+        self.state.borrow_mut().hold = self.env.now() + self.bounds.hold() * 3;
         if let Some((name, out)) = next {
             self.log(format!("{name} is named successor"));
             out.send(Body::Pulse(Pulse { term, named: true, ..Pulse::default() }));
