Leaders and servers' places are written down, so a new leading hub need not wait

Planned hand-overs called the grants back 600 ms before the next server led. Nodes cut off kept their callers.

Ruled out: remembering all nodes that hold grants (never logged, and many); shorter grants (a lost leading hub would then stop service).

Change: who leads on which line is written to the image before anything is granted for it; a leading hub that sees that same server lead on that line grants at once, since all others' grants had ended when it was written. A server's place is written with the roll. Shares of servers that turn callers away by themselves are given at once. A planned hand-over leaves the old leader's grants until the next one leads, unless a holder is late; where not all others can be kept from receiving, the old leader is told to follow first. A node that can do nothing closes sessions that rest.

--- a/base/src/talk/mod.rs
+++ b/base/src/talk/mod.rs
@@ -30,6 +30,8 @@
     Place,
     /// Asked of a server only: receive nothing more until freed, ahead of an election of this line.
     Hold { line: u64 },
+    /// Asked of a server only: follow, if it leads on an earlier line.
+    Yield { line: u64 },
     /// Asked of a server only: receive again.
     Free,
 }
--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use base::{
+    Kind,
     seam::Part,
     talk::{Act, Naming},
     words::Position,
 };
-use wire::{Group, Image};
+use wire::{Elect, Group, Image};
 
 use super::Duty;
 
@@ -109,10 +110,15 @@
         if let Some(p) = &prim {
             self.fence(g, p, &st).await;
             if st.server != p.name && (st.server.is_empty() || p.line > st.line) {
-                return self.adopt_leader(g, p, &st);
+                return self.adopt_leader(g, image, p, &st).await;
             }
-            if st.server == p.name && p.line > st.line {
-                self.edit(&g.name, |s| s.line = p.line);
+            if st.server == p.name {
+                if p.line > st.line {
+                    self.edit(&g.name, |s| s.line = p.line);
+                }
+                if image.elect(&g.name).is_none_or(|e| e.server != p.name || e.line != p.line) {
+                    self.write_down(g, p).await;
+                }
             }
         }
         if st.server.is_empty() {
@@ -177,15 +183,52 @@
         }
     }
 
+    /// Writes down who leads before any grant for it is given: whoever leads the hubs later and sees that same server
+    /// lead on that line knows that no grant for another can be out.
+    async fn write_down(&self, g: &Group, p: &Sighted) -> bool {
+        let before = self.agree.image().and_then(|i| i.elect(&g.name).cloned());
+        let (index, from) = (p.place.index, p.place.line);
+        let put = Elect {
+            group: g.name.clone(),
+            line: p.line,
+            server: p.name.clone(),
+            from_line: from,
+            from_index: index,
+        };
+        let out = self.agree.propose(move |image| {
+            if image.elect(&put.group).cloned() != before {
+                return Err(Kind::Conflict);
+            }
+            let mut image = image.clone();
+            image.elects.retain(|e| e.group != put.group);
+            image.elects.push(put);
+            Ok(image)
+        });
+        out.await.is_ok()
+    }
+
     /// Grants for a server that was seen leading, once no grant for another can stand.
-    fn adopt_leader(&self, g: &Group, p: &Sighted, st: &super::Standing) {
+    async fn adopt_leader(&self, g: &Group, image: &Image, p: &Sighted, st: &super::Standing) {
         if st.granting {
             self.withdraw(&g.name, &format!("{} leads on line {}", p.name, p.line));
         }
-        let now = self.env.now();
-        if !self.ledger.borrow().leads_out(&g.name, now) {
+        let noted = image.elect(&g.name).cloned();
+        // Nothing was ever granted for a group of which nothing is written down.
+        let known = noted.as_ref().is_none_or(|e| e.server == p.name && e.line == p.line);
+        let out = || self.ledger.borrow().leads_back(&g.name, self.env.now(), known);
+        for _ in 0..20 {
+            if out() {
+                break;
+            }
+            self.env.sleep(self.bounds.pulse() / 20).await;
+        }
+        if !out() || !self.agree.leads() {
             return;
         }
+        if noted.is_none_or(|e| e.server != p.name || e.line != p.line) && !self.write_down(g, p).await {
+            return;
+        }
+        let now = self.env.now();
         self.log(Part::Elect, format!("{} leads {} on line {}", p.name, g.name, p.line));
         self.edit(&g.name, |s| {
             s.server.clone_from(&p.name);
@@ -367,8 +410,7 @@
         self.log(Part::Elect, format!("{from} is to hand {} over to {name}", g.name));
         let Some(goal) = self.hold_all(&others, line, self.bounds.missed()).await else {
             self.free_all(&others);
-            self.edit(&g.name, |s| s.wish = None);
-            return;
+            return self.hand_down(g, from, &name, line).await;
         };
         self.urgent.set(self.env.now() + self.bounds.gone());
         let there = |s: &str| {
@@ -387,7 +429,51 @@
             // What became of the call can't be told: those kept from receiving stay so until it shows.
             return;
         }
-        self.withdraw(&g.name, &format!("{name} is named"));
+        if self.holders_late(&g.name) {
+            self.withdraw(&g.name, &format!("{name} is named"));
+        }
+        // Else the old one is read and written for as long as it leads.
         self.await_leader(g, &name, line).await;
     }
+
+    /// Whether a node that holds a grant may be slow to hand it back.
+    fn holders_late(&self, group: &str) -> bool {
+        let now = self.env.now();
+        let seats = self.seats.borrow();
+        let late = |n: &String| seats.get(n).is_none_or(|s| now.saturating_sub(s.heard) > self.bounds.beat() * 2);
+        self.ledger.borrow().holders(group, now).iter().any(late)
+    }
+
+    /// Hands over where some other server can't be kept from receiving: the old leader is told to follow, so that it
+    /// confirms nothing more, and what it holds then is what the next one must hold; else it is named again.
+    async fn hand_down(&self, g: &Group, from: &str, next: &str, line: u64) {
+        self.edit(&g.name, |s| s.wish = None);
+        let old = [from.to_string()];
+        old.iter().for_each(|s| self.order(s, Act::Yield { line }));
+        self.urgent.set(self.env.now() + self.bounds.gone());
+        let row = |s: &str| self.talks.borrow().get(s).and_then(|t| t.held);
+        let wait = self.bell.until(|| row(from));
+        let Ok(last) = self.env.within(self.bounds.missed(), wait).await else {
+            self.log(Part::Elect, format!("{from} can't be told to follow"));
+            // The order must not be carried out later on.
+            return self.with_order_off(from);
+        };
+        let there = || {
+            let talks = self.talks.borrow();
+            talks.get(next).and_then(|t| t.row).is_some_and(|(_, r)| r.place >= last.place)
+        };
+        let wait = self.bell.until(|| there().then_some(()));
+        let met = self.env.within(self.bounds.missed() / 2, wait).await.is_ok();
+        let name = if met { next } else { from };
+        self.log(Part::Elect, format!("{from} follows; naming {name} for {}", g.name));
+        if self.call_name(g, name).await == Some(200) {
+            self.await_leader(g, name, line).await;
+        }
+    }
+
+    fn with_order_off(&self, server: &str) {
+        if let Some(t) = self.talks.borrow_mut().get_mut(server) {
+            t.order = None;
+        }
+    }
 }
--- a/hub/src/duty/ledger.rs
+++ b/hub/src/duty/ledger.rs
@@ -75,8 +75,19 @@
         now >= self.grace && self.leads.get(group).is_none_or(|all| all.values().all(|(_, until)| now >= *until))
     }
 
+    /// As [`Ledger::leads_out`]; where no earlier leading hub can have given any for another server, only this one's count.
+    pub fn leads_back(&self, group: &str, now: Duration, known: bool) -> bool {
+        (known || now >= self.grace) && self.holders(group, now).is_empty()
+    }
+
+    /// The nodes that may hold a leader grant of a group, given by this hub.
+    pub fn holders(&self, group: &str, now: Duration) -> Vec<String> {
+        let all = self.leads.get(group).into_iter().flatten();
+        all.filter(|(_, (_, until))| now < *until).map(|(n, _)| n.clone()).collect()
+    }
+
     /// Gives a node its share of a server, never more than what is not out elsewhere.
-    pub fn share(&mut self, server: &str, to: (&str, u64), cap: u64, now: Duration, until: Duration) -> u64 {
+    pub fn share(&mut self, server: &str, to: (&str, u64), cap: u64, now: Duration, until: Duration, soft: bool) -> u64 {
         let (node, nonce) = to;
         let grace = now < self.grace;
         let all = self.shares.entry(server.into()).or_default();
@@ -90,7 +101,12 @@
         let fair = fair(all.iter().map(|(n, l)| (n.as_str(), l.want)), cap, node);
         let others: u64 = all.iter().filter(|(n, _)| *n != node).map(|(_, l)| l.count).sum();
         let free = cap.saturating_sub(others);
-        let give = if grace { lot.count.min(cap) } else { fair.min(free) };
+        let give = match (grace, soft) {
+            (false, _) => fair.min(free),
+            (true, false) => lot.count.min(cap),
+            // What is out besides can't be known yet; the server itself turns away what is over its cap.
+            (true, true) => lot.count.max(fair).min(cap),
+        };
         let lot = all.entry(node.into()).or_default();
         // What was given stays out until the node tells that it holds less, or until it has run out.
         lot.count = lot.count.max(give);
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -140,6 +140,13 @@
             servers.extend(n.servers.iter().map(|s| (s.name.clone(), Told::from_news(s, now))));
             self.seats.borrow_mut().extend(n.nodes.iter().map(|n| (n.name.clone(), Seat::from_news(n, now))));
         }
+        // After all processes were down nobody tells it again for a while.
+        if let Some(image) = self.agree.image() {
+            for s in &image.spots {
+                let group = image.root(&s.server).map_or("", |g| &g.name);
+                servers.entry(s.server.clone()).or_insert_with(|| Told::from_spot(s, group, now));
+            }
+        }
         drop(servers);
         self.publish();
     }
@@ -294,7 +301,7 @@
                 let cap = ledger::cap(g.cap, cold);
                 let count = match self.tricks.no_ledger {
                     true => cap,
-                    false => ledger.share(s, (&beat.name, beat.nonce), cap, now, until),
+                    false => ledger.share(s, (&beat.name, beat.nonce), cap, now, until, g.confirms),
                 };
                 out.push(wire::Share { server: s.clone(), count, span: self.bounds.grant().as_millis() as u64 });
             }
--- a/hub/src/duty/muster.rs
+++ b/hub/src/duty/muster.rs
@@ -1,5 +1,5 @@
 use base::{Kind, seam::Part};
-use wire::{Group, Image};
+use wire::{Group, Image, Spot};
 
 use super::Duty;
 
@@ -16,11 +16,12 @@
             }
             let next = image.groups.iter().filter(|g| g.confirms).find_map(|g| self.recruit(g));
             let Some((group, new, old)) = next else { continue };
+            let spot = self.servers.borrow().get(&new).map(|t| t.spot(&new));
             let text = match &old {
                 Some(o) => format!("{new} is in the place of {o} in {group}"),
                 None => format!("{new} is of {group}"),
             };
-            let out = self.agree.propose(move |image| enrol(image, &group, &new, old.as_deref())).await;
+            let out = self.agree.propose(move |image| enrol(image, &group, &new, old.as_deref(), spot)).await;
             if out.is_ok() {
                 self.log(Part::Elect, text);
                 self.publish();
@@ -39,7 +40,7 @@
     }
 }
 
-fn enrol(image: &Image, group: &str, new: &str, old: Option<&str>) -> Result<Image, Kind> {
+fn enrol(image: &Image, group: &str, new: &str, old: Option<&str>, spot: Option<Spot>) -> Result<Image, Kind> {
     let mut image = image.clone();
     let g = image.groups.iter_mut().find(|g| g.name == group).ok_or(Kind::Conflict)?;
     if g.servers.iter().any(|s| s == new) {
@@ -47,5 +48,8 @@
     }
     g.servers.retain(|s| Some(s.as_str()) != old);
     g.servers.push(new.into());
+    let kept: Vec<String> = image.groups.iter().flat_map(|g| g.servers.clone()).collect();
+    image.spots.retain(|s| kept.contains(&s.server) && s.server != new);
+    image.spots.extend(spot);
     Ok(image)
 }
--- a/hub/src/duty/probe.rs
+++ b/hub/src/duty/probe.rs
@@ -147,7 +147,7 @@
                 t.row = Some((asked, row));
                 if order.is_some() && t.order == order {
                     t.order = None;
-                    t.held = matches!(order, Some(Act::Hold { .. })).then_some(row);
+                    t.held = matches!(order, Some(Act::Hold { .. } | Act::Yield { .. })).then_some(row);
                 }
             });
             self.bell.ring();
--- a/hub/src/duty/registry.rs
+++ b/hub/src/duty/registry.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use base::edge::backend::Report;
-use wire::{Beat, Node, Server, Sight};
+use wire::{Beat, Node, Server, Sight, Spot};
 
 /// A server as it last told of itself.
 #[derive(Clone, Debug)]
@@ -56,6 +56,28 @@
         }
     }
 
+    /// From what was written down when the server was written into its group.
+    pub fn from_spot(s: &Spot, group: &str, now: Duration) -> Self {
+        Self {
+            area: s.area.clone(),
+            addr: s.addr.clone(),
+            draining: false,
+            cold: 0.0,
+            leads: false,
+            line: 0,
+            heard: now,
+            gone: false,
+            group: group.into(),
+            turn: 0,
+            left: false,
+        }
+    }
+
+    /// Where it stands.
+    pub fn spot(&self, name: &str) -> Spot {
+        Spot { server: name.into(), addr: self.addr.clone(), area: self.area.clone() }
+    }
+
     /// Coldness in twentieths, so that warming up is not news at every report.
     fn step(&self) -> u32 {
         (self.cold * 20.0).ceil() as u32 * 50
--- a/spoke/src/main.rs
+++ b/spoke/src/main.rs
@@ -50,6 +50,9 @@
     if let Some(addr) = given.access {
         let sock = bind(&env, addr).await;
         let (e, d, h) = (env.clone(), door.clone(), host.clone());
+        let step = place.bounds.pulse();
+        tree.child("able", move || able(e.clone(), d.clone(), h.clone(), step));
+        let (e, d, h) = (env.clone(), door.clone(), host.clone());
         tree.child("access", move || platform::serve(e.clone(), sock.clone(), d.clone(), h.clone()));
     }
     if let Some(addr) = given.ready {
@@ -66,6 +69,25 @@
     spoke.hand_back().await;
 }
 
+/// Wakes the door's sessions when this node can no longer do anything for them.
+async fn able(
+    env: Env,
+    door: Door,
+    host: Rc<dyn base::talk::Host>,
+    step: Duration,
+) -> Result<(), std::convert::Infallible> {
+    let mut was = false;
+    loop {
+        let is = host.ready();
+        if was && !is {
+            env.log(Part::Door, "nothing can be served here now; sessions that rest are closed");
+            door.bell.ring();
+        }
+        was = is;
+        env.sleep(step).await;
+    }
+}
+
 async fn bind(env: &Env, addr: std::net::SocketAddr) -> http::Slot {
     match env.listen(addr).await {
         Ok(l) => Rc::new(RefCell::new(Some(l))),
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -32,6 +32,20 @@
     /// The operators' own form of what is said of the whole set.
     #[prost(string, tag = "11")]
     pub note: String,
+    /// Where the servers that made themselves known stood, so that they are found before they tell it again.
+    #[prost(message, repeated, tag = "12")]
+    pub spots: Vec<Spot>,
+}
+
+/// Where a server stood when it was written into its group.
+#[derive(Clone, PartialEq, Message)]
+pub struct Spot {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    #[prost(string, tag = "2")]
+    pub addr: String,
+    #[prost(string, tag = "3")]
+    pub area: String,
 }
 
 /// A set or change that was taken.
