A successor takes on the grants that are out; servers are read a third as often

Change: the naming pulse carries the leader grants that may still stand, and the successor's ledger begins with them; leaders are read after 0.6 s without an answer, others after 2.3 s; opening a connection that brings nothing counts as silence and ends after a call's span; BEGIN goes on under the caller's id.

--- a/base/src/bounds.rs
+++ b/base/src/bounds.rs
@@ -82,10 +82,10 @@
         ms(self.drain / 4)
     }
 
-    /// How long a server that confirms commits may leave a question unanswered before it counts as missed: a tenth of
-    /// the drain bound.
+    /// How long a server that confirms commits may leave a question unanswered before it counts as missed: a twelfth
+    /// of the drain bound.
     pub fn missed(&self) -> Duration {
-        ms(self.drain / 10)
+        ms(self.drain / 12)
     }
 
     /// How long one call to a peer or server's status may take.
--- a/hub/src/agree/answer.rs
+++ b/hub/src/agree/answer.rs
@@ -45,6 +45,7 @@
         let mut taken = false;
         if p.named && p.term == term && !blank {
             self.log(format!("named successor by {from}"));
+            *self.heir.borrow_mut() = Some((p.term, self.env.now(), p.out));
             self.campaign(store, true).await;
             return;
         }
--- a/hub/src/agree/desk.rs
+++ b/hub/src/agree/desk.rs
@@ -120,6 +120,7 @@
                 kept,
                 named: false,
                 born,
+                out: Vec::new(),
             }));
         }
     }
@@ -181,7 +182,8 @@
         self.state.borrow_mut().hold = self.env.now() + self.bounds.hold() * 3;
         if let Some((name, out)) = next {
             self.log(format!("{name} is named successor"));
-            out.send(Body::Pulse(Pulse { term, named: true, ..Pulse::default() }));
+            let left = self.estate.borrow().as_ref().map(|e| e()).unwrap_or_default();
+            out.send(Body::Pulse(Pulse { term, named: true, out: left, ..Pulse::default() }));
         }
     }
 }
--- a/hub/src/agree/mod.rs
+++ b/hub/src/agree/mod.rs
@@ -18,7 +18,7 @@
     seam::{Env, Part},
 };
 use futures::channel::{mpsc, oneshot};
-use wire::{Body, Hello, Image, Out, Vote, relay::Who};
+use wire::{Body, Hello, Image, Out, OutLead, Vote, relay::Who};
 
 use crate::store::Kept;
 
@@ -91,6 +91,10 @@
     inbox: mpsc::UnboundedSender<Job>,
     /// Rung when leadership, commitment or confirmation moved.
     pub bell: Bell,
+    /// Tells which leader grants of this hub may still stand.
+    pub estate: RefCell<Option<Box<dyn Fn() -> Vec<OutLead>>>>,
+    /// What the holder who named this hub its successor left: its term, when that was told, the grants.
+    heir: RefCell<Option<(u64, Duration, Vec<OutLead>)>>,
     loose: Loose,
     /// Processes that were told of as counting by other bounds.
     odd: RefCell<BTreeSet<String>>,
@@ -126,6 +130,8 @@
             state: RefCell::new(state),
             inbox,
             bell: Bell::default(),
+            estate: RefCell::default(),
+            heir: RefCell::default(),
             loose,
             odd: RefCell::default(),
         };
@@ -160,6 +166,13 @@
         if s.role == Role::Leading { self.who.name.clone() } else { s.leader.clone() }
     }
 
+    /// What the holder of the term before left to this hub, where it named it its successor and nobody led between.
+    pub fn heir(&self) -> Option<(Duration, Vec<OutLead>)> {
+        let term = self.term().0;
+        let heir = self.heir.borrow();
+        heir.as_ref().filter(|h| h.0 + 1 == term).map(|h| (h.1, h.2.clone()))
+    }
+
     /// Whether the disk remembers nothing, and its incarnation.
     pub fn blank(&self) -> (bool, u64) {
         let s = self.state.borrow();
--- a/hub/src/duty/ledger.rs
+++ b/hub/src/duty/ledger.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, time::Duration};
 
-use wire::Beat;
+use wire::{Beat, OutLead};
 
 /// Connections of each server that hubs keep for reading positions.
 const KEPT_BACK: u64 = 3;
@@ -27,6 +27,8 @@
 pub struct Ledger {
     /// Before this an earlier leading hub's grants may stand.
     grace: Duration,
+    /// Before this an earlier leading hub's leader grants may stand, beside those that are noted.
+    doubt: Duration,
     shares: BTreeMap<String, BTreeMap<String, Lot>>,
     leads: BTreeMap<String, BTreeMap<String, (u64, Duration)>>,
 }
@@ -34,7 +36,37 @@
 impl Ledger {
     /// A ledger whose unknown grants have run out at `grace`.
     pub fn new(grace: Duration) -> Self {
-        Self { grace, ..Self::default() }
+        Self { grace, doubt: grace, ..Self::default() }
+    }
+
+    /// A ledger that takes on the leader grants which the holder before told of at `at`.
+    pub fn heir(grace: Duration, at: Duration, left: &[OutLead]) -> Self {
+        let mut me = Self { grace, ..Self::default() };
+        for l in left {
+            if l.group.is_empty() {
+                me.doubt = at + Duration::from_millis(l.left);
+                continue;
+            }
+            me.lead_given(&l.group, &l.node, l.nonce, at + Duration::from_millis(l.left));
+        }
+        me
+    }
+
+    /// The leader grants that may still stand, for a successor. Only one that knows of all can tell.
+    pub fn left(&self, now: Duration) -> Vec<OutLead> {
+        let mut out = Vec::new();
+        if self.doubt > now {
+            // Of a holder earlier still, nobody knows which nodes have any.
+            let left = (self.doubt - now).as_millis() as u64 + 1;
+            out.push(OutLead { left, ..OutLead::default() });
+        }
+        for (group, all) in &self.leads {
+            for (node, (nonce, until)) in all.iter().filter(|(_, (_, u))| now < *u) {
+                let left = (*until - now).as_millis() as u64 + 1;
+                out.push(OutLead { group: group.clone(), node: node.clone(), nonce: *nonce, left });
+            }
+        }
+        out
     }
 
     /// Takes in what a node says it still holds.
@@ -72,12 +104,12 @@
 
     /// Whether no leader grant of a group can still stand.
     pub fn leads_out(&self, group: &str, now: Duration) -> bool {
-        now >= self.grace && self.leads.get(group).is_none_or(|all| all.values().all(|(_, until)| now >= *until))
+        now >= self.doubt && self.leads.get(group).is_none_or(|all| all.values().all(|(_, until)| now >= *until))
     }
 
     /// As [`Ledger::leads_out`]; where no earlier leading hub can have given any for another server, only this one's count.
     pub fn leads_back(&self, group: &str, now: Duration, known: bool) -> bool {
-        (known || now >= self.grace) && self.holders(group, now).is_empty()
+        (known || now >= self.doubt) && self.holders(group, now).is_empty()
     }
 
     /// The nodes that may hold a leader grant of a group, given by this hub.
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -73,7 +73,7 @@
         manner: Option<Rc<dyn Manner>>,
         tricks: Tricks,
     ) -> Rc<Self> {
-        Rc::new(Self {
+        let me = Rc::new(Self {
             env: env.clone(),
             agree,
             relay,
@@ -94,7 +94,13 @@
             urgent: Cell::default(),
             bell: Bell::default(),
             tricks,
-        })
+        });
+        let weak = Rc::downgrade(&me);
+        *me.agree.estate.borrow_mut() = Some(Box::new(move || {
+            let me = weak.upgrade();
+            me.map(|m| m.ledger.borrow().left(m.env.now())).unwrap_or_default()
+        }));
+        me
     }
 
     /// Leads whenever the agreement says so, and clears the desk when it no longer does.
@@ -124,7 +130,11 @@
     fn take_over(&self, term: u64) {
         self.term.set(term);
         self.count.set(0);
-        *self.ledger.borrow_mut() = Ledger::new(self.env.now() + self.bounds.lapse());
+        let lapse = self.env.now() + self.bounds.lapse();
+        *self.ledger.borrow_mut() = match self.agree.heir() {
+            Some((at, left)) => Ledger::heir(lapse, at, &left),
+            None => Ledger::new(lapse),
+        };
         self.standings.borrow_mut().clear();
         self.seats.borrow_mut().clear();
         self.seen.borrow_mut().clear();
--- a/hub/src/duty/probe.rs
+++ b/hub/src/duty/probe.rs
@@ -159,7 +159,7 @@
                 (order || self.env.now() < self.urgent.get()).then_some(())
             });
             if !busy {
-                let _ = self.env.within(self.bounds.sample(), soon).await;
+                let _ = self.env.within(self.bounds.sample() * 2, soon).await;
             }
         }
     }
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -304,7 +304,7 @@
             return Order::Return(Kind::NoDatabase);
         };
         let silent = |s: &String| {
-            let open = self.gauges.sight(s).open;
+            let open = [self.gauges.sight(s).open, self.pools.trying(s)].into_iter().flatten().min();
             open.is_some_and(|t| self.env.now() > t + self.bounds.missed() / 2)
         };
         let free = |s: &&String| {
--- a/spoke/src/gauge/sample.rs
+++ b/spoke/src/gauge/sample.rs
@@ -43,8 +43,8 @@
             let now = self.env.now();
             let leads = self.journal.view().leads.values().any(|l| l.server == server);
             let x = self.sight(&server);
-            let due = if leads { step } else { rare };
-            let heard = x.at.is_some_and(|t| now < t + due) && x.open.is_none_or(|t| now < t + step);
+            let due = if leads { rare } else { rare * 4 };
+            let heard = x.at.is_some_and(|t| now < t + due) && x.open.is_none_or(|t| now < t + rare / 2);
             if heard || pool.limit() == 0 {
                 continue;
             }
--- a/spoke/src/pool/mod.rs
+++ b/spoke/src/pool/mod.rs
@@ -70,6 +70,10 @@
     idle: RefCell<Vec<Conn>>,
     inbox: RefCell<VecDeque<oneshot::Sender<Slot>>>,
     most: usize,
+    /// How long opening a connection may take.
+    dial: Duration,
+    /// Since when no connection could be opened, while some were tried.
+    trying: Cell<Option<Duration>>,
     pub speech: Speech,
     /// How many connections were opened.
     pub opened: Cell<u64>,
@@ -79,7 +83,7 @@
 
 impl Pool {
     /// A pool that may open nothing yet.
-    pub fn new(env: &Env, server: &str, addr: SocketAddr, most: usize, speech: Speech) -> Rc<Self> {
+    pub fn new(env: &Env, server: &str, addr: SocketAddr, most: usize, dial: Duration, speech: Speech) -> Rc<Self> {
         Rc::new(Self {
             env: env.clone(),
             server: server.into(),
@@ -91,6 +95,8 @@
             idle: RefCell::default(),
             inbox: RefCell::default(),
             most,
+            dial,
+            trying: Cell::default(),
             speech,
             opened: Cell::new(0),
             full: Cell::new(0),
@@ -102,6 +108,11 @@
         self.open.get()
     }
 
+    /// Since when opening a connection has brought nothing.
+    pub fn trying(&self) -> Option<Duration> {
+        self.trying.get()
+    }
+
     /// How many may be open.
     pub fn limit(&self) -> usize {
         self.limit.get()
--- a/spoke/src/pool/slot.rs
+++ b/spoke/src/pool/slot.rs
@@ -43,8 +43,12 @@
         let span = due.saturating_sub(self.pool.env.now());
         if let Some((manner, group)) = &self.pool.speech {
             let line = manner.open(&self.pool.env, self.pool.addr, group, &self.pool.server);
-            return match self.pool.env.within(span, line).await {
+            if self.pool.trying.get().is_none() {
+                self.pool.trying.set(Some(self.pool.env.now()));
+            }
+            return match self.pool.env.within(span.min(self.pool.dial), line).await {
                 Ok(Ok(line)) => {
+                    self.pool.trying.set(None);
                     self.pool.opened.set(self.pool.opened.get() + 1);
                     self.conn = Some(Conn { line: Link::Talk(line, Worn::default()), dress: None });
                     Ok(())
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -70,6 +70,7 @@
 pub struct Pools {
     env: Env,
     most: usize,
+    dial: Duration,
     manner: Option<Rc<dyn Manner>>,
     map: RefCell<BTreeMap<String, Rc<Pool>>>,
     tricks: Tricks,
@@ -78,8 +79,8 @@
 }
 
 impl Pools {
-    fn new(env: &Env, most: usize, tricks: Tricks, manner: Option<Rc<dyn Manner>>) -> Rc<Self> {
-        Rc::new(Self { env: env.clone(), most, manner, tricks, map: RefCell::default(), bell: Bell::default() })
+    fn new(env: &Env, most: usize, dial: Duration, tricks: Tricks, manner: Option<Rc<dyn Manner>>) -> Rc<Self> {
+        Rc::new(Self { env: env.clone(), most, dial, manner, tricks, map: RefCell::default(), bell: Bell::default() })
     }
 
     /// The pool of a server.
@@ -97,6 +98,11 @@
         self.map.borrow().get(server).map_or(0, |p| p.limit())
     }
 
+    /// Since when a server's pool could open no connection.
+    pub fn trying(&self, server: &str) -> Option<Duration> {
+        self.map.borrow().get(server).and_then(|p| p.trying())
+    }
+
     /// How busy a server's pool is, as a part of its share.
     pub fn load(&self, server: &str) -> f64 {
         let map = self.map.borrow();
@@ -137,7 +143,7 @@
                         (Some(_), None) => continue,
                         _ => None,
                     };
-                    map.insert(name.clone(), Pool::new(&self.env, name, addr, self.most, speech));
+                    map.insert(name.clone(), Pool::new(&self.env, name, addr, self.most, self.dial, speech));
                     moved = true;
                 }
             }
@@ -179,7 +185,10 @@
                 let x = self.gauges.sight(&name);
                 let age = match pool.speech {
                     // How long a question stands unanswered: silence tells nothing where nothing was asked.
-                    Some(_) => x.open.map_or(0, |t| now.saturating_sub(t).as_millis() as u64),
+                    Some(_) => {
+                        let open = [x.open, pool.trying()].into_iter().flatten().min();
+                        open.map_or(0, |t| now.saturating_sub(t).as_millis() as u64)
+                    }
                     None => x.at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64),
                 };
                 beat.sights.push(Sight {
@@ -255,7 +264,7 @@
     let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(place.http).await?)));
     let bounds = place.bounds.clone();
     let journal = Journal::new(env);
-    let pools = Pools::new(env, place.most_inbox, tricks, manner);
+    let pools = Pools::new(env, place.most_inbox, bounds.call(), tricks, manner);
     let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone(), tricks.grow);
     let relay = Relay::new(env, who.clone(), bounds.clone());
     relay.lead(Rc::new(Node {
--- a/spoke/src/talk/trans.rs
+++ b/spoke/src/talk/trans.rs
@@ -195,8 +195,8 @@
         } else {
             self.lead_slot(&gate.group, due).await?
         };
-        let own = Said { id: String::new(), ..begun.clone() };
-        match self.utter(&mut slot, key, &own, &Guise::of(&stock.borrow(), &own), floor(&target), due).await {
+        let guise = Guise::of(&stock.borrow(), begun);
+        match self.utter(&mut slot, key, begun, &guise, floor(&target), due).await {
             Ok(_) => Ok(slot),
             Err(Miss::Unrun(k)) => {
                 slot.spoil();
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -356,6 +356,24 @@
     /// The hearer's disk as the image knows it; zero when it is not known.
     #[prost(uint64, tag = "8")]
     pub born: u64,
+    /// With `named`: the leader grants that the namer gave and that may still stand.
+    #[prost(message, repeated, tag = "9")]
+    pub out: Vec<OutLead>,
+}
+
+/// A leader grant that may still stand.
+#[derive(Clone, PartialEq, Message)]
+pub struct OutLead {
+    #[prost(string, tag = "1")]
+    pub group: String,
+    #[prost(string, tag = "2")]
+    pub node: String,
+    /// The beat whose return gave it.
+    #[prost(uint64, tag = "3")]
+    pub nonce: u64,
+    /// Milliseconds until it has run out for sure.
+    #[prost(uint64, tag = "4")]
+    pub left: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
