--- a/base/src/talk/line.rs
+++ b/base/src/talk/line.rs
@@ -81,7 +81,8 @@
 
 /// A manner of speaking to servers and platform.
 pub trait Manner {
-    /// Opens a session at a server of a group.
+    /// Opens a session at a server of a group. `Unsent` where nobody listens, `Unsure` where one is there and takes no
+    /// session.
     fn open(&self, env: &Env, addr: SocketAddr, group: &str, server: &str) -> Local<Result<Box<dyn Line>, Fault>>;
     /// Tells the platform who is to lead; the answer's code.
     fn name(&self, env: &Env, addr: SocketAddr, naming: &Naming, span: Duration) -> Local<Result<u16, Fault>>;
--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -104,9 +104,17 @@
 
     /// One look at a group.
     pub(super) async fn reign(&self, g: &Group, image: &Image) {
-        let st = self.stand(&g.name);
+        let mut st = self.stand(&g.name);
         let now = self.env.now();
         let prim = self.primary(g, image);
+        if st.server.is_empty()
+            && let Some(e) = image.elect(&g.name).filter(|e| g.servers.contains(&e.server))
+        {
+            // Grants were given for no other since that was written down.
+            st.server.clone_from(&e.server);
+            st.line = e.line;
+            self.edit(&g.name, |s| (s.server, s.line) = (e.server.clone(), e.line));
+        }
         if let Some(p) = &prim {
             self.fence(g, p, &st).await;
             if st.server != p.name && (st.server.is_empty() || p.line > st.line) {
@@ -142,7 +150,7 @@
             self.hand_over(g, image, &st.server, wish).await;
             return;
         }
-        let leads = prim.as_ref().is_none_or(|p| p.name == st.server);
+        let leads = prim.as_ref().map_or(st.proven, |p| p.name == st.server);
         let granting = leads && silent < self.bounds.missed() / 2;
         if granting != st.granting {
             self.edit(&g.name, |s| {
@@ -162,7 +170,8 @@
         let fresh = now.saturating_sub(self.bounds.beat() * 4);
         let blind = |s: &str| {
             let seats = self.seats.borrow();
-            let miss = |x: &super::Seat| x.sights.iter().any(|y| y.server == s && y.age > 600);
+            let late = self.bounds.missed().as_millis() as u64 * 2 / 3;
+            let miss = |x: &super::Seat| x.sights.iter().any(|y| y.server == s && (y.age > late || y.refused));
             seats.values().filter(|x| !x.hub && x.heard > fresh && miss(x)).count()
         };
         let own = blind(&st.server);
@@ -172,7 +181,9 @@
             return self.edit(&g.name, |s| s.dim = None);
         };
         let since = st.dim.unwrap_or(now);
-        let ripe = now - since > self.bounds.missed() / 2 && now - st.since > self.bounds.gone() * 2;
+        // A single node's word may be chance.
+        let long = if own > 1 { self.bounds.missed() / 2 } else { self.bounds.missed() * 2 };
+        let ripe = now - since > long && now - st.since > self.bounds.gone() * 2;
         self.edit(&g.name, |s| s.dim = Some(since));
         if ripe {
             self.log(Part::Elect, format!("{own} nodes can't reach {}; {} is in sight of more", st.server, other.name));
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -206,6 +206,7 @@
         if let Some(t) = self.servers.borrow_mut().get_mut(server) {
             t.left = true;
             t.gone = true;
+            t.heard = self.env.now();
         }
         self.publish();
     }
--- a/hub/src/duty/probe.rs
+++ b/hub/src/duty/probe.rs
@@ -2,7 +2,7 @@
 
 use base::{
     edge::backend::{self, Signs},
-    http::Client,
+    http::{Client, Fault},
     seam::Job,
     talk::{Act, Line, Manner, Row, Said},
     words::Position,
@@ -122,6 +122,10 @@
             let line = self.env.within(span, manner.open(&self.env, addr, &group, &server)).await;
             if let Ok(Ok(mut line)) = line {
                 self.stay(&server, &mut *line).await;
+            } else if let Ok(Err(Fault::Unsure)) = line {
+                // It turns sessions away, being full: it lives.
+                let now = self.env.now();
+                self.with_talk(&server, |t| *t = Talk { open: None, refused: 0, alive: Some(now), ..*t });
             } else {
                 let soon = self.env.now() - start < span / 4;
                 self.with_talk(&server, |t| t.refused = if soon { t.refused + 1 } else { 0 });
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -265,9 +265,17 @@
         Some(Target { server: server.clone(), group: gate.group.clone(), basis: basis.clone() })
     }
 
-    /// Where a write or a transaction of a group whose servers confirm may go.
+    /// Where a write or a transaction of a group whose servers confirm may go. One that answers nothing here may be
+    /// reached from another node.
     pub fn lead(&self, group: &str) -> Result<Target, Kind> {
-        self.leader(&self.journal.view(), group)
+        let target = self.leader(&self.journal.view(), group)?;
+        if self.silent(&target.server) { Err(Kind::NoServer) } else { Ok(target) }
+    }
+
+    /// Whether what this node asks of a server stands unanswered for too long.
+    fn silent(&self, server: &str) -> bool {
+        let open = [self.gauges.sight(server).open, self.pools.trying(server)].into_iter().flatten().min();
+        open.is_some_and(|t| self.env.now() > t + self.bounds.missed() / 2)
     }
 
     /// Whether the leave to act on the target as leader stands now. What was begun under it may be ended without it: the
@@ -303,15 +311,11 @@
         let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == gate.group)) else {
             return Order::Return(Kind::NoDatabase);
         };
-        let silent = |s: &String| {
-            let open = [self.gauges.sight(s).open, self.pools.trying(s)].into_iter().flatten().min();
-            open.is_some_and(|t| self.env.now() > t + self.bounds.missed() / 2)
-        };
         let free = |s: &&String| {
             Some(*s) != leader.as_ref()
                 && again(s) == 0
                 && !self.vetoed(&view, s, false)
-                && !silent(s)
+                && !self.silent(s)
                 && self.pools.limit(s) > 0
         };
         let mut rows: Vec<&String> = g.servers.iter().filter(free).collect();
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -204,6 +204,13 @@
         s.open = s.open.or(Some(now));
     }
 
+    /// Nothing is asked of a server any more.
+    pub fn unasked(&self, server: &str) {
+        if let Some(s) = self.sights.borrow_mut().get_mut(server) {
+            s.open = None;
+        }
+    }
+
     /// A server in the users' manner answered what was sent at `asked`, and showed this place.
     pub fn answered(&self, server: &str, asked: Duration, place: Option<Position>) {
         let now = self.env.now();
--- a/spoke/src/gauge/sample.rs
+++ b/spoke/src/gauge/sample.rs
@@ -1,6 +1,7 @@
 use std::{collections::BTreeMap, convert::Infallible, rc::Rc, time::Duration};
 
 use base::{
+    Kind,
     edge::backend,
     seam::{Job, Part},
     talk::{Act, Said},
@@ -35,24 +36,37 @@
         let server = pool.server.clone();
         let said = Said::own(Act::Place);
         loop {
-            let (step, span, rare) = {
+            let (span, rare) = {
                 let b = self.bounds.borrow();
-                (b.sample(), b.call(), b.missed())
+                (b.call(), b.missed())
             };
-            self.env.sleep(step / 2).await;
+            self.env.sleep(rare / 8).await;
             let now = self.env.now();
             let leads = self.journal.view().leads.values().any(|l| l.server == server);
             let x = self.sight(&server);
             let due = if leads { rare } else { rare * 4 };
-            let heard = x.at.is_some_and(|t| now < t + due) && x.open.is_none_or(|t| now < t + rare / 2);
-            if heard || pool.limit() == 0 {
+            let heard = x.at.is_some_and(|t| now < t + due) && x.open.is_none_or(|t| now < t + rare / 4);
+            if pool.limit() == 0 {
+                // Nothing is asked here now; what went unanswered before tells nothing of later.
+                self.unasked(&server);
+                pool.rest();
+                continue;
+            }
+            if heard {
                 continue;
             }
             self.sent(&server);
             let start = self.env.now();
-            let Ok(mut slot) = pool.get(start + span).await else {
-                self.missed(&server, self.env.now() - start < span / 4);
-                continue;
+            let mut slot = match pool.get(start + span).await {
+                Ok(s) => s,
+                Err(Kind::Full) => {
+                    self.answered(&server, start, None);
+                    continue;
+                }
+                Err(_) => {
+                    self.missed(&server, self.env.now() - start < span / 4);
+                    continue;
+                }
             };
             let asked = self.env.now();
             self.reads.set(self.reads.get() + 1);
--- a/spoke/src/pool/mod.rs
+++ b/spoke/src/pool/mod.rs
@@ -113,6 +113,11 @@
         self.trying.get()
     }
 
+    /// Nothing is tried here any more.
+    pub fn rest(&self) {
+        self.trying.set(None);
+    }
+
     /// How many may be open.
     pub fn limit(&self) -> usize {
         self.limit.get()
--- a/spoke/src/pool/slot.rs
+++ b/spoke/src/pool/slot.rs
@@ -53,6 +53,11 @@
                     self.conn = Some(Conn { line: Link::Talk(line, Worn::default()), dress: None });
                     Ok(())
                 }
+                // One that is there and takes no session lives, and is full.
+                Ok(Err(Fault::Unsure)) => {
+                    self.pool.trying.set(None);
+                    Err(Kind::Full)
+                }
                 _ => Err(Kind::NoServer),
             };
         }
--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -88,11 +88,11 @@
         miss.map_or(Ok(reply), Err)
     }
 
-    /// How long a statement of a doorway may take, and how long it may wait for somebody to take it: a quarter of how
-    /// soon an answer is wanted. What is given up on is told at once.
+    /// How long a statement of a doorway may take, and how long it may wait for somebody to take it: half of that, so that
+    /// an election is lived through here. What is given up on is told at once.
     pub fn spans(&self, gate: &Gate) -> (Duration, Duration) {
         let most = gate.most.unwrap_or_else(|| self.decider.limit().0);
-        (most, gate.aim.unwrap_or(most) / 4)
+        (most, most / 2)
     }
 
     /// Rests until something moved or a moment has passed.
