Where no new connection can be had, one that stands carries the statement

A pool gave up with the first refusal, closed nothing it could keep, and nodes told the leader as out of sight, so groups were handed over for nothing.

Change: a pool whose server takes no new connection waits for one that stands and dials again after a moment; dialling in vain is silence only if nothing was answered since; readings go on to the next connection when one turns out ended; connections that the other side ended are found before they are used.

--- a/base/src/talk/line.rs
+++ b/base/src/talk/line.rs
@@ -64,8 +64,8 @@
     /// Says one statement and waits for its whole answer; with `after`, a server whose log lacks it refuses. A future
     /// that is dropped leaves the connection unusable.
     fn say<'a>(&'a mut self, said: &'a Said, after: Option<Position>) -> LocalBoxFuture<'a, Result<Reply, Fault>>;
-    /// Whether it can still carry a statement.
-    fn open(&self) -> bool;
+    /// Whether it can still carry a statement: looks whether the other side ended it.
+    fn open(&mut self) -> bool;
 }
 
 /// The call that names a new leader.
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -274,8 +274,8 @@
 
     /// Whether what this node asks of a server stands unanswered for too long.
     fn silent(&self, server: &str) -> bool {
-        let open = [self.gauges.sight(server).open, self.pools.trying(server)].into_iter().flatten().min();
-        open.is_some_and(|t| self.env.now() > t + self.bounds.missed() / 2)
+        let x = self.gauges.sight(server);
+        x.silent(self.pools.trying(server)).is_some_and(|t| self.env.now() > t + self.bounds.missed() / 2)
     }
 
     /// Whether the leave to act on the target as leader stands now. What was begun under it may be ended without it: the
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -45,6 +45,15 @@
     pub reach: Position,
 }
 
+impl Sight {
+    /// Since when a server in the users' manner has answered nothing that was asked of it, nor taken the connections that
+    /// were `trying` since then.
+    pub fn silent(&self, trying: Option<Duration>) -> Option<Duration> {
+        let trying = trying.filter(|t| self.at.is_none_or(|a| a < *t));
+        [self.open, trying].into_iter().flatten().min()
+    }
+}
+
 /// A database, and a statement kind where lists are kept per kind (else `*`).
 pub type Key = (String, String);
 
--- a/spoke/src/gauge/sample.rs
+++ b/spoke/src/gauge/sample.rs
@@ -55,27 +55,40 @@
             if heard {
                 continue;
             }
-            self.sent(&server);
-            let start = self.env.now();
-            let mut slot = match pool.get(start + span).await {
-                Ok(s) => s,
-                Err(Kind::Full) => {
-                    self.answered(&server, start, None);
-                    continue;
-                }
-                Err(_) => {
-                    self.missed(&server, self.env.now() - start < span / 4);
-                    continue;
-                }
-            };
-            let asked = self.env.now();
-            self.reads.set(self.reads.get() + 1);
-            match slot.say(&said, None, asked + span).await {
-                Ok(reply) => {
-                    self.record_probe(&server, true);
-                    self.answered(&server, asked, reply.place);
-                }
-                Err(_) => self.missed(&server, false),
+            // Connections that the server ended show it only when used; the next one may be good.
+            while !self.ask(&pool, &said, span).await {}
+        }
+    }
+
+    /// Asks a server where it stands; false where the connection turned out to be ended.
+    async fn ask(&self, pool: &Rc<Pool>, said: &Said, span: Duration) -> bool {
+        let server = &pool.server;
+        self.sent(server);
+        let start = self.env.now();
+        let had = pool.idle();
+        let mut slot = match pool.get(start + span).await {
+            Ok(s) => s,
+            Err(Kind::Full) => {
+                self.answered(server, start, None);
+                return true;
+            }
+            Err(_) => {
+                self.missed(server, self.env.now() - start < span / 4);
+                return true;
+            }
+        };
+        let asked = self.env.now();
+        self.reads.set(self.reads.get() + 1);
+        match slot.say(said, None, asked + span).await {
+            Ok(reply) => {
+                self.record_probe(server, true);
+                self.answered(server, asked, reply.place);
+                true
+            }
+            Err(_) if had > 0 && self.env.now() - asked < span / 4 => false,
+            Err(_) => {
+                self.missed(server, false);
+                true
             }
         }
     }
--- a/spoke/src/pool/mod.rs
+++ b/spoke/src/pool/mod.rs
@@ -42,7 +42,7 @@
 }
 
 impl Link {
-    fn open(&self) -> bool {
+    fn open(&mut self) -> bool {
         match self {
             Link::Http(c) => c.open(),
             Link::Talk(l, _) => l.open(),
@@ -72,6 +72,8 @@
     most: usize,
     /// How long opening a connection may take.
     dial: Duration,
+    /// Until when no connection is opened, as the server turned one away.
+    shy: Cell<Duration>,
     /// Since when no connection could be opened, while some were tried.
     trying: Cell<Option<Duration>>,
     pub speech: Speech,
@@ -96,6 +98,7 @@
             inbox: RefCell::default(),
             most,
             dial,
+            shy: Cell::default(),
             trying: Cell::default(),
             speech,
             opened: Cell::new(0),
@@ -118,6 +121,11 @@
         self.trying.set(None);
     }
 
+    /// How many connections rest.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
     /// How many may be open.
     pub fn limit(&self) -> usize {
         self.limit.get()
@@ -155,7 +163,7 @@
     }
 
     fn admit(self: &Rc<Self>) {
-        while self.open.get() < self.limit.get() {
+        while self.open.get() < self.limit.get() && !self.shies() {
             let Some(next) = self.inbox.borrow_mut().pop_front() else { return };
             self.open.set(self.open.get() + 1);
             // A waiter that has left gives the slot back as it is dropped.
@@ -165,23 +173,45 @@
 
     /// Waits in turn for a connection, until `due` at the latest.
     pub async fn get(self: &Rc<Self>, due: Duration) -> Result<Slot, Kind> {
-        let mut slot = self.turn(due).await?;
-        slot.connect(due).await?;
-        Ok(slot)
+        loop {
+            let mut slot = self.turn(due).await?;
+            let Err(kind) = slot.connect(due).await else { return Ok(slot) };
+            drop(slot);
+            // Where no new connection can be had, one that stands may still carry it.
+            if self.speech.is_none() || self.open.get() == 0 || self.env.now() >= due {
+                return Err(kind);
+            }
+            self.shy.set(self.env.now() + self.dial / 8);
+        }
+    }
+
+    /// Whether no connection is to be opened just now.
+    fn shies(&self) -> bool {
+        self.env.now() < self.shy.get() && self.open.get() > 0
     }
 
     async fn turn(self: &Rc<Self>, due: Duration) -> Result<Slot, Kind> {
+        loop {
+            let end = if self.shies() { due.min(self.shy.get()) } else { due };
+            match self.wait_turn(end).await {
+                Err(Kind::Due) if end < due => {}
+                out => return out,
+            }
+        }
+    }
+
+    async fn wait_turn(self: &Rc<Self>, due: Duration) -> Result<Slot, Kind> {
         if self.limit.get() == 0 {
             return Err(Kind::NoServer);
         }
         loop {
-            let Some(c) = self.idle.borrow_mut().pop() else { break };
+            let Some(mut c) = self.idle.borrow_mut().pop() else { break };
             if c.line.open() {
                 return Ok(Slot::new(self, Some(c)));
             }
             self.open.set(self.open.get() - 1);
         }
-        if self.open.get() < self.limit.get() {
+        if self.open.get() < self.limit.get() && !self.shies() {
             self.open.set(self.open.get() + 1);
             return Ok(Slot::new(self, None));
         }
@@ -200,8 +230,9 @@
     }
 
     fn back(self: &Rc<Self>, conn: Option<Conn>) {
-        match conn {
-            Some(c) if c.line.open() && self.open.get() <= self.limit.get() => {
+        let keep = self.open.get() <= self.limit.get();
+        match conn.and_then(|mut c| (keep && c.line.open()).then_some(c)) {
+            Some(c) => {
                 let next = self.inbox.borrow_mut().pop_front();
                 match next {
                     Some(n) => {
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -186,8 +186,7 @@
                 let age = match pool.speech {
                     // How long a question stands unanswered: silence tells nothing where nothing was asked.
                     Some(_) => {
-                        let open = [x.open, pool.trying()].into_iter().flatten().min();
-                        open.map_or(0, |t| now.saturating_sub(t).as_millis() as u64)
+                        x.silent(pool.trying()).map_or(0, |t| now.saturating_sub(t).as_millis() as u64)
                     }
                     None => x.at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64),
                 };
