--- a/base/src/boot.rs
+++ b/base/src/boot.rs
@@ -209,6 +209,25 @@
     exit(BAD_SETTINGS)
 }
 
+/// Ends here if only a check was asked for.
+pub fn checked(flags: &Flags) {
+    if flags.check {
+        println!("settings are good");
+        exit(0)
+    }
+}
+
+/// Tells whether settings that were changed could be used; only the log level is taken on at once.
+pub fn reread(env: &Env, set: Result<Settings, String>) {
+    match set.and_then(|s| s.check().map(|_| s).map_err(|all| all.join("; "))) {
+        Ok(s) => {
+            log(&s.log);
+            env.log(Part::Main, "settings were read again; they are in force from the next start");
+        }
+        Err(e) => env.log(Part::Main, format!("the changed settings are refused, the old ones stay: {e}")),
+    }
+}
+
 /// Sets how much is logged.
 pub fn log(level: &str) {
     use spdlog::{Level, LevelFilter};
--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -226,7 +226,7 @@
         let noted = image.elect(&g.name).cloned();
         // Nothing was ever granted for a group of which nothing is written down.
         let known = noted.as_ref().is_none_or(|e| e.server == p.name && e.line == p.line);
-        let out = || self.ledger.borrow().leads_back(&g.name, self.env.now(), known);
+        let out = || self.ledger.borrow().leads_back(&g.name, self.env.now(), known) || self.tricks.no_wait;
         for _ in 0..20 {
             if out() {
                 break;
@@ -346,6 +346,16 @@
         }
         let line = self.newest(g) + 1;
         self.log(Part::Elect, format!("new leader needed for {}", g.name));
+        if self.tricks.no_hold {
+            let talks = self.talks.borrow();
+            let some = others.iter().find(|s| talks.get(*s).is_some_and(|t| t.open.is_none())).cloned();
+            drop(talks);
+            if let Some(s) = some {
+                self.call_name(g, &s).await;
+                self.await_leader(g, &s, line).await;
+            }
+            return;
+        }
         if lost.is_empty() {
             // Nobody is known to have led: all but one must answer.
             others.iter().for_each(|s| self.order(s, Act::Hold { line }));
--- /dev/null
+++ b/hub/src/ground.rs
@@ -0,0 +1,53 @@
+//! A hub with the door of the users' platform.
+
+use std::{cell::RefCell, rc::Rc};
+
+use base::{
+    Env,
+    http::{self, Door},
+    settings::Place,
+    tree::Tree,
+};
+use platform::Given;
+
+use crate::{Hub, Tricks, run_in, store::Fault};
+
+/// A hub that answers servers and operators in the users' manner.
+pub struct Ground {
+    env: Env,
+    pub hub: Hub,
+    door: Door,
+    place: Place,
+    _tree: Tree,
+}
+
+impl Ground {
+    /// Starts it; it runs for as long as the returned value lives.
+    pub async fn start(env: &Env, given: &Given, place: &Place, tricks: Tricks) -> Result<Self, Fault> {
+        let hub = run_in(env, place, tricks, Some(platform::Speech::shared())).await?;
+        let door = Door::new(place.most_sessions, place.most_body);
+        let mut tree = Tree::new(env);
+        if let Some(addr) = given.control {
+            let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(addr).await?)));
+            let relay = hub.relay.clone();
+            let make = Rc::new(move || {
+                let relay = relay.clone();
+                let pass: platform::Pass = Rc::new(move |ask| {
+                    let relay = relay.clone();
+                    Box::pin(async move { relay.pass(ask).await })
+                });
+                Rc::new(platform::Desk { pass }) as Rc<dyn http::Session>
+            });
+            let (e, d) = (env.clone(), door.clone());
+            tree.child("control", move || http::serve(e.clone(), sock.clone(), d.clone(), make.clone()));
+        }
+        Ok(Self { env: env.clone(), hub, door, place: place.clone(), _tree: tree })
+    }
+
+    /// Hands over what this hub does and closes its doors.
+    pub async fn leave(&self) {
+        self.hub.leave().await;
+        self.door.end();
+        self.env.sleep(self.place.bounds.pulse()).await;
+    }
+}
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -3,9 +3,11 @@
 mod agree;
 mod door;
 mod duty;
+mod ground;
 mod ops;
 pub mod rescue;
 pub mod run;
 pub mod store;
 
+pub use ground::Ground;
 pub use run::{Hub, Tricks, run, run_in};
--- a/hub/src/main.rs
+++ b/hub/src/main.rs
@@ -1,12 +1,6 @@
 //! The control plane's program.
 
-use std::{cell::RefCell, rc::Rc};
-
-use base::{
-    boot,
-    http::{self, Door},
-    seam::Part,
-};
+use base::boot;
 
 base::flags!("The control plane of portspoke: keeps the operator's word, elects leaders, gives grants.");
 
@@ -14,7 +8,7 @@
 async fn main() {
     let flags = flags();
     if let Some(path) = boot::given(&flags, platform::VARIABLE) {
-        return on_platform(&path).await;
+        return on_platform(&flags, &path).await;
     }
     let (set, place) = boot::must_load(&flags, true);
     boot::log(&set.log);
@@ -47,37 +41,17 @@
 }
 
 /// Runs under the users' platform, whose settings file is at `path`.
-async fn on_platform(path: &std::path::Path) {
+async fn on_platform(flags: &boot::Flags, path: &std::path::Path) {
     let given = platform::load(path, true).unwrap_or_else(|e| boot::wrong(&e));
-    let place = boot::place_of(&given.set, "settings");
+    let place = boot::place_of(&given.set, &path.display().to_string());
+    boot::checked(flags);
     boot::log(&given.set.log);
     let signals = boot::Signals::new().await;
     let env = boot::world(given.set.data.as_deref());
-    let hub = match hub::run_in(&env, &place, Default::default(), Some(platform::Speech::shared())).await {
-        Ok(h) => h,
+    let ground = match hub::Ground::start(&env, &given, &place, Default::default()).await {
+        Ok(g) => g,
         Err(e) => boot::fail(&e.to_string()),
     };
-    let door = Door::new(place.most_sessions, place.most_body);
-    let mut tree = base::tree::Tree::new(&env);
-    if let Some(addr) = given.control {
-        let sock: http::Slot = match env.listen(addr).await {
-            Ok(l) => Rc::new(RefCell::new(Some(l))),
-            Err(e) => boot::fail(&format!("{addr}: {e}")),
-        };
-        let relay = hub.relay.clone();
-        let make = Rc::new(move || {
-            let relay = relay.clone();
-            let pass: platform::Pass = Rc::new(move |ask| {
-                let relay = relay.clone();
-                Box::pin(async move { relay.pass(ask).await })
-            });
-            Rc::new(platform::Desk { pass }) as Rc<dyn http::Session>
-        });
-        let (e, d) = (env.clone(), door.clone());
-        tree.child("control", move || http::serve(e.clone(), sock.clone(), d.clone(), make.clone()));
-    }
-    signals.until_asked(&env, || env.log(Part::Main, "the settings file is read at the next start")).await;
-    hub.leave().await;
-    door.end();
-    env.sleep(place.bounds.pulse()).await;
+    signals.until_asked(&env, || boot::reread(&env, platform::load(path, true).map(|g| g.set))).await;
+    ground.leave().await;
 }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -44,6 +44,8 @@
     pub no_recall: bool,
     /// Count any log, whatever became of it.
     pub no_roll: bool,
+    /// Name a leader without keeping the others from receiving.
+    pub no_hold: bool,
     /// Give a cold server's whole cap at once.
     pub no_ramp: bool,
 }
--- /dev/null
+++ b/kit/src/sim/hall.rs
@@ -0,0 +1,302 @@
+//! A whole deployment under the users' manner in a simulated world: three areas, a hub and some spokes in each, groups of
+//! servers that confirm, callers and an operator, all speaking that manner.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use platform::stand::{Bank, Ledger, Plan, Setup, configure, drive, duty, serve, settings};
+
+use super::core::{Line, Sim};
+
+/// How a hall is built.
+#[derive(Clone, Copy, Debug)]
+pub struct Build {
+    /// Machines of each area; the first has a disk.
+    pub machines: usize,
+    pub groups: usize,
+    pub hub: hub::Tricks,
+    pub spoke: spoke::Tricks,
+}
+
+impl Default for Build {
+    fn default() -> Self {
+        Self { machines: 2, groups: 2, hub: Default::default(), spoke: Default::default() }
+    }
+}
+
+/// The areas.
+pub const AREAS: [&str; 3] = ["north", "mid", "south"];
+
+#[derive(Clone)]
+enum What {
+    Hub { text: String },
+    Spoke { text: String },
+    Server(Setup),
+    Duty(SocketAddr),
+    Desk,
+}
+
+struct Proc {
+    host: usize,
+    what: What,
+    leave: Rc<std::cell::Cell<bool>>,
+}
+
+/// The deployment.
+pub struct Hall {
+    pub sim: Rc<Sim>,
+    pub bank: Rc<Bank>,
+    pub ledger: Rc<Ledger>,
+    build: Build,
+    procs: RefCell<BTreeMap<String, Proc>>,
+    access: Vec<SocketAddr>,
+    control: Vec<SocketAddr>,
+}
+
+fn addr(ip: &str, port: u16) -> SocketAddr {
+    format!("{ip}:{port}").parse().expect("an address")
+}
+
+impl Hall {
+    /// A hall with all processes started.
+    pub fn new(seed: u64, build: Build) -> Rc<Self> {
+        let groups: Vec<(String, Vec<String>)> =
+            (0..build.groups).map(|g| (format!("g{g}"), (0..3).map(|i| format!("s{g}{i}")).collect())).collect();
+        let machine = |a: usize, m: usize| format!("10.{}.0.{}", a + 1, m + 1);
+        let seeds: Vec<String> = (0..3).map(|a| machine(a, 0)).collect();
+        let place = addr("10.9.0.1", 80);
+        let all = || (0..3).flat_map(|a| (0..build.machines).map(move |m| (a, m)));
+        let me = Rc::new(Self {
+            sim: Sim::new(seed),
+            bank: Bank::new(&groups),
+            ledger: Rc::default(),
+            build,
+            procs: RefCell::default(),
+            access: all().map(|(a, m)| addr(&machine(a, m), 8784)).collect(),
+            control: (0..3).map(|a| addr(&machine(a, 0), 8782)).collect(),
+        });
+        let add = |name: &str, area: &str, what: What| {
+            let host = me.sim.host(name, area);
+            me.procs.borrow_mut().insert(name.into(), Proc { host, what, leave: Rc::default() });
+        };
+        add("duty", "duty", What::Duty(place));
+        add("desk", "desk", What::Desk);
+        for (a, m) in all() {
+            let name = format!("{}{m}", AREAS[a]);
+            let text = settings(&name, &machine(a, m), AREAS[a], &seeds, place, m == 0);
+            if m == 0 {
+                add(&format!("h{a}"), AREAS[a], What::Hub { text: text.clone() });
+            }
+            add(&format!("n{a}{m}"), AREAS[a], What::Spoke { text });
+        }
+        for (g, (group, servers)) in groups.iter().enumerate() {
+            for (i, s) in servers.iter().enumerate() {
+                // Each group's first leader stands in another area.
+                let area = (g + i) % 3;
+                let ip = format!("10.{}.64.{}", area + 1, g * 3 + i + 1);
+                let setup = Setup {
+                    name: s.clone(),
+                    group: group.clone(),
+                    area: AREAS[area].into(),
+                    addr: addr(&ip, 9000),
+                    nodes: me.control.clone(),
+                    cap: 60,
+                    work: Duration::from_millis(3),
+                    lag: Duration::from_millis(15),
+                };
+                add(s, AREAS[area], What::Server(setup));
+            }
+        }
+        let names: Vec<String> = me.procs.borrow().keys().cloned().collect();
+        names.iter().for_each(|n| me.launch(n));
+        me
+    }
+
+    fn launch(&self, name: &str) {
+        let (host, what, leave) = {
+            let mut procs = self.procs.borrow_mut();
+            let p = procs.get_mut(name).expect("a process of the hall");
+            p.leave = Rc::default();
+            (p.host, p.what.clone(), p.leave.clone())
+        };
+        let env = self.sim.env(host);
+        let boot = self.sim.hosts.borrow()[host].boot;
+        let (bank, build) = (self.bank.clone(), self.build);
+        let asked = async move |env: &base::Env| {
+            while !leave.get() {
+                env.sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let task: std::pin::Pin<Box<dyn Future<Output = ()>>> = match what {
+            What::Desk => return,
+            What::Duty(at) => Box::pin(duty(env, bank, at, Duration::from_millis(500))),
+            What::Server(setup) => Box::pin(serve(env, bank, setup)),
+            What::Hub { text } => Box::pin(async move {
+                let given = platform::read(&text, true).expect("settings");
+                let place = given.set.check().expect("settings");
+                let ground = match hub::Ground::start(&env, &given, &place, build.hub).await {
+                    Ok(g) => g,
+                    Err(e) => return env.die(&e.to_string()),
+                };
+                asked(&env).await;
+                ground.leave().await;
+                env.die("ended as asked");
+            }),
+            What::Spoke { text } => Box::pin(async move {
+                let given = platform::read(&text, false).expect("settings");
+                let place = given.set.check().expect("settings");
+                let ground = match spoke::Ground::start(&env, &given, &place, build.spoke).await {
+                    Ok(g) => g,
+                    Err(e) => return env.die(&e.to_string()),
+                };
+                asked(&env).await;
+                ground.leave().await;
+                env.die("ended as asked");
+            }),
+        };
+        self.sim.spawn(host, boot, task);
+    }
+
+    /// What callers do in this hall: for each group, reads that must see all, bounded ones, and the session's own.
+    pub fn plans(&self, span: Duration) -> Vec<Plan> {
+        let until = self.sim.now() + span;
+        let kinds = [("all", None), ("old", Some(1500)), ("own", Some(2500))];
+        let one = |g: usize, (kind, ms): (&str, Option<u64>)| Plan {
+            name: format!("{kind}{g}"),
+            group: format!("g{g}"),
+            stale: ms.map(Duration::from_millis),
+            nodes: self.access.clone(),
+            pause: Duration::from_millis(25),
+            until,
+        };
+        (0..self.build.groups).flat_map(|g| kinds.iter().map(move |k| one(g, *k))).collect()
+    }
+
+    fn to_desk(&self, task: impl Future<Output = ()> + 'static) {
+        let host = self.procs.borrow()["desk"].host;
+        self.sim.spawn(host, self.sim.hosts.borrow()[host].boot, Box::pin(task));
+    }
+
+    /// Sends the first configuration, and waits until all groups are served.
+    pub fn settle(&self) {
+        let env = self.sim.env(self.procs.borrow()["desk"].host);
+        let (nodes, plans) = (self.control.clone(), self.plans(Duration::ZERO));
+        let done = Rc::new(std::cell::Cell::new(false));
+        let told = done.clone();
+        self.to_desk(async move { told.set(configure(&env, &nodes, &plans, 0, 3).await) });
+        let end = self.sim.now() + Duration::from_secs(20);
+        self.sim.run(end, &move || done.get());
+        self.sim.pass(Duration::from_secs(4));
+    }
+
+    /// Starts callers; they end by themselves.
+    pub fn drive(&self, each: usize, span: Duration) {
+        let host = self.procs.borrow()["desk"].host;
+        for plan in self.plans(span) {
+            for _ in 0..each {
+                let task = drive(self.sim.env(host), self.ledger.clone(), plan.clone());
+                self.to_desk(task);
+            }
+        }
+    }
+
+    /// The processes that a word of a timeline is about: one, an area, a group's leader (`lead0`) or all servers of it.
+    fn meant(&self, name: &str) -> Vec<String> {
+        if let Some(g) = name.strip_prefix("lead") {
+            return vec![self.bank.leader(&format!("g{g}"))];
+        }
+        let procs = self.procs.borrow();
+        if procs.contains_key(name) {
+            return vec![name.into()];
+        }
+        let inside = |p: &Proc| name == "all" || self.sim.hosts.borrow()[p.host].area == name;
+        let outer = |n: &String| !["duty", "desk"].contains(&n.as_str());
+        procs.iter().filter(|(n, p)| inside(p) && outer(n)).map(|(n, _)| n.clone()).collect()
+    }
+
+    /// Carries out one word: `kill`, `dark`, `start`, `freeze`, `thaw`, `leave`, `wipe`, `deaf`, `hear`, `mute`, `loud`,
+    /// `drain`, `cut>NAME` (one way), `part>NAME`, `heal>NAME`.
+    pub fn act(&self, name: &str, word: &str) {
+        let all = self.meant(name);
+        let host = |n: &str| self.procs.borrow()[n].host;
+        if let Some((way, to)) = word.split_once('>') {
+            let real = |n: &str| if n.starts_with("lead") { self.meant(n).remove(0) } else { n.to_string() };
+            let (from, to) = (real(name), real(to));
+            match way {
+                "cut" => self.sim.net.cut(&from, &to),
+                "part" => {
+                    self.sim.net.cut(&from, &to);
+                    self.sim.net.cut(&to, &from);
+                }
+                _ => {
+                    self.sim.net.heal(&self.sim, &from, &to);
+                    self.sim.net.heal(&self.sim, &to, &from);
+                }
+            }
+            self.sim.say(&format!("{from} {way} {to}"));
+            return;
+        }
+        for n in &all {
+            match word {
+                "." => {}
+                "kill" => self.sim.kill(host(n), false),
+                "dark" => self.sim.kill(host(n), true),
+                "wipe" => {
+                    self.sim.kill(host(n), false);
+                    self.sim.files(host(n)).wipe();
+                }
+                "start" if !self.sim.is_up(host(n)) => {
+                    self.sim.boot(host(n));
+                    self.launch(n);
+                }
+                "start" => {}
+                "freeze" => self.sim.freeze(host(n)),
+                "thaw" => self.sim.thaw(host(n)),
+                "leave" => self.procs.borrow()[n].leave.set(true),
+                "deaf" => drop(self.bank.copy(n, |c| c.deaf = true)),
+                "hear" => drop(self.bank.copy(n, |c| c.deaf = false)),
+                "mute" => drop(self.bank.copy(n, |c| c.mute = 20)),
+                "loud" => drop(self.bank.copy(n, |c| c.mute = 0)),
+                "drain" => drop(self.bank.copy(n, |c| c.draining = true)),
+                other => panic!("no word {other:?}"),
+            }
+        }
+    }
+
+    /// Plays a timeline: the first line names the columns, each further one opens with seconds since the load began.
+    pub fn play(&self, text: &str) {
+        let mut lines = text.lines().map(str::trim).filter(|l| !l.is_empty());
+        let names: Vec<&str> = lines.next().expect("a line of names").split_whitespace().skip(1).collect();
+        let rows: Vec<(f64, Vec<&str>)> = lines
+            .map(|l| {
+                let mut words = l.split_whitespace();
+                (words.next().and_then(|w| w.parse().ok()).expect("seconds open a line"), words.collect())
+            })
+            .collect();
+        let end = rows.last().map_or(0.0, |r| r.0);
+        self.settle();
+        let start = self.sim.now();
+        self.drive(4, Duration::from_secs_f64(end + 8.0));
+        for (at, words) in rows {
+            self.sim.run(start + Duration::from_secs_f64(at), &|| false);
+            names.iter().zip(words).for_each(|(n, w)| self.act(n, w));
+        }
+        self.sim.pass(Duration::from_secs(14));
+    }
+
+    /// What was found wrong.
+    pub fn findings(&self) -> Vec<String> {
+        self.ledger.findings(&self.bank)
+    }
+
+    /// Good answers in each second from `from` on, since the world began.
+    pub fn served(&self, from: u64, to: u64) -> Vec<u64> {
+        let all = self.ledger.seconds.borrow();
+        (from..to).map(|s| all.get(&s).copied().unwrap_or(0)).collect()
+    }
+
+    /// The log as text.
+    pub fn drawn(&self) -> String {
+        let line = |l: &Line| format!("{:>9.3} {:<6} {}: {}\n", l.at.as_secs_f64(), l.who, l.part.prefix(), l.text);
+        self.sim.log().iter().map(line).collect()
+    }
+}
--- a/kit/src/sim/mod.rs
+++ b/kit/src/sim/mod.rs
@@ -3,6 +3,7 @@
 mod core;
 mod disk;
 mod figures;
+mod hall;
 mod harm;
 mod net;
 mod swarm;
@@ -12,6 +13,7 @@
 
 pub use core::{Line, Sim};
 pub use figures::figures;
+pub use hall::{AREAS, Build as HallBuild, Hall};
 pub use harm::KINDS;
 pub use swarm::{Draw, Outcome, swarm};
 pub use timeline::{Scene, act, drawn, play};
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -297,7 +297,9 @@
             Promise::Bound | Promise::Session => {
                 let fresh = gate.fresh.unwrap_or(self.bounds.fresh());
                 let since = self.env.now().saturating_sub(fresh * 5 / 6);
-                self.gauges.head(&gate.group, since).map(|(_, head)| head.max(own))
+                let own = if self.tricks.no_token { Position::default() } else { own };
+                let head = self.gauges.head(&gate.group, since).map(|(_, head)| head.max(own));
+                if self.tricks.no_fresh { Some(Position::default()) } else { head }
             }
         };
         let again = |s: &String| tried.iter().filter(|t| *t == s).count();
--- /dev/null
+++ b/spoke/src/ground.rs
@@ -0,0 +1,88 @@
+//! A spoke with the doors of the users' platform.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use base::{
+    Env,
+    http::{self, Door},
+    seam::Part,
+    settings::Place,
+    talk::Host,
+    tree::Tree,
+};
+use platform::Given;
+
+use crate::{Spoke, Tricks, run_in};
+
+/// A spoke that serves callers in the users' manner.
+pub struct Ground {
+    env: Env,
+    pub spoke: Spoke,
+    door: Door,
+    grace: Duration,
+    _tree: Tree,
+}
+
+async fn bind(env: &Env, addr: SocketAddr) -> io::Result<http::Slot> {
+    let told = |e: io::Error| io::Error::new(e.kind(), format!("{addr}: {e}"));
+    Ok(Rc::new(RefCell::new(Some(env.listen(addr).await.map_err(told)?))))
+}
+
+/// Wakes the door's sessions when this node can no longer do anything for them.
+async fn able(env: Env, door: Door, host: Rc<dyn Host>, step: Duration) -> Result<(), std::convert::Infallible> {
+    let mut was = false;
+    loop {
+        let is = host.ready();
+        if was && !is {
+            env.log(Part::Door, "nothing can be served here now; sessions that rest are closed");
+            door.bell.ring();
+        }
+        was = is;
+        env.sleep(step).await;
+    }
+}
+
+impl Ground {
+    /// Starts it; it runs for as long as the returned value lives.
+    pub async fn start(env: &Env, given: &Given, place: &Place, tricks: Tricks) -> io::Result<Self> {
+        let spoke = run_in(env, place, tricks, Some(platform::Speech::shared())).await?;
+        let host = spoke.host();
+        let door = Door::new(place.most_sessions, place.most_body);
+        let probe = Door::new(64, 1 << 10);
+        let mut tree = Tree::new(env);
+        if let Some(addr) = given.access {
+            let sock = bind(env, addr).await?;
+            let (e, d, h) = (env.clone(), door.clone(), host.clone());
+            let step = place.bounds.pulse();
+            tree.child("able", move || able(e.clone(), d.clone(), h.clone(), step));
+            let (e, d, h) = (env.clone(), door.clone(), host.clone());
+            tree.child("access", move || platform::serve(e.clone(), sock.clone(), d.clone(), h.clone()));
+        }
+        if let Some(addr) = given.ready {
+            let sock = bind(env, addr).await?;
+            let leaving = door.clone();
+            let make = Rc::new(move || {
+                let leaving = leaving.leaving.clone();
+                Rc::new(platform::Probe { host: host.clone(), leaving }) as Rc<dyn http::Session>
+            });
+            let (e, p) = (env.clone(), probe.clone());
+            tree.child("ready", move || http::serve(e.clone(), sock.clone(), p.clone(), make.clone()));
+        }
+        let grace = Duration::from_millis(given.grace);
+        Ok(Self { env: env.clone(), spoke, door, grace, _tree: tree })
+    }
+
+    /// Says that no new callers are wanted, serves on until that is known, then lets each session go once nothing of it
+    /// is open; open transactions have the first half of the grace.
+    pub async fn leave(&self) {
+        self.door.leaving.set(true);
+        self.env.sleep(self.grace * 5 / 12).await;
+        self.door.end();
+        let end = self.env.now() + self.grace * 5 / 12;
+        while self.door.open.get() > 0 && self.env.now() < end {
+            self.env.sleep(self.grace / 120).await;
+        }
+        self.env.log(Part::Main, format!("{} sessions left open at the end", self.door.open.get()));
+        self.spoke.hand_back().await;
+    }
+}
--- a/spoke/src/lib.rs
+++ b/spoke/src/lib.rs
@@ -3,10 +3,12 @@
 mod decide;
 mod door;
 mod gauge;
+mod ground;
 mod pool;
 pub mod run;
 mod talk;
 mod view;
 mod work;
 
+pub use ground::Ground;
 pub use run::{Spoke, Tricks, run, run_in};
--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -51,7 +51,9 @@
         let asked = self.env.now();
         self.gauges.sent(&server);
         let prepared = guise.prepared.as_ref().map(|(w, t)| (t.as_str(), *w));
-        let name = slot.wear(&guise.values, prepared, due).await.map_err(|_| {
+        let plain = BTreeMap::new();
+        let values = if self.decider.tricks.no_wipe { &plain } else { &guise.values };
+        let name = slot.wear(values, prepared, due).await.map_err(|_| {
             self.gauges.record(key, &server, Outcome::Error, self.env.now() - asked);
             Miss::Unrun(Kind::NoServer)
         })?;
--- a/spoke/src/talk/write.rs
+++ b/spoke/src/talk/write.rs
@@ -49,6 +49,9 @@
                     }
                     Err(Miss::Unrun(k)) => k,
                     Err(Miss::Failed(k)) => return told(Err(Fail::unsure(k)), None),
+                    Err(Miss::Unsure) if self.decider.tricks.resend && self.env.now() < due + most => {
+                        return Box::pin(self.write_talk(stock, said)).await;
+                    }
                     Err(Miss::Unsure) => {
                         bump(&self.tally.unknown);
                         return told(Err(Fail::unsure(Kind::Unknown)), None);
