A node that has just begun lets callers wait a moment instead of refusing them at once

Ruled out: a shorter hold at a hub's start (a hub that forgot whom it acknowledged must wait the lease out).

--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -97,6 +97,17 @@
         (most, most / 2)
     }
 
+    /// Waits until this node may take new work, up to a time.
+    pub async fn admitted(&self, until: Duration) -> Result<(), Kind> {
+        loop {
+            match self.decider.admit() {
+                Err(k) if self.env.now() >= until => return Err(k),
+                Err(_) => self.pause().await,
+                Ok(()) => return Ok(()),
+            }
+        }
+    }
+
     /// Rests until something moved or a moment has passed.
     pub async fn pause(&self) {
         let seen = self.journal.bell.count();
--- a/spoke/src/talk/write.rs
+++ b/spoke/src/talk/write.rs
@@ -26,12 +26,12 @@
             Ok(g) => g,
             Err(k) => return no(k),
         };
-        if let Err(k) = self.decider.admit() {
+        let (most, patience) = self.spans(&gate);
+        let start = self.env.now();
+        if let Err(k) = self.admitted(start + patience).await {
             bump(&self.tally.refused);
             return no(k);
         }
-        let (most, patience) = self.spans(&gate);
-        let start = self.env.now();
         let due = start + most;
         let key = self.gauges.key(&name, "");
         let guise = Guise::of(&stock.borrow(), said);
