kit scale: real processes beside hollow nodes, for the capacity page

Real hubs, spokes and servers beside hollow nodes that share one process and speak the peers' messages truly; prints joins, time of a change to all, returns, depth, processor time and peak memory of each role, bytes a node, and bytes for each idle session. Refuses more than half of the machine's memory; ends all it started.

--- a/kit/src/fleet/mod.rs
+++ b/kit/src/fleet/mod.rs
@@ -3,11 +3,13 @@
 mod layout;
 mod members;
 mod procs;
+mod scale;
 mod script;
 
 pub use layout::{Backend, Layout, Machine};
 pub use members::{member, member_somehow};
 pub use procs::Procs;
+pub use scale::{Idle, Point, Scale, idle, scale};
 pub use script::{Fault, Step, parse};
 
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
--- a/kit/src/fleet/procs.rs
+++ b/kit/src/fleet/procs.rs
@@ -83,6 +83,11 @@
         Ok(())
     }
 
+    /// The number of a process that runs.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        Some(self.map.get(name)?.child.as_ref()?.id())
+    }
+
     /// Names of all processes in an area.
     pub fn area(&self, area: &str) -> Vec<String> {
         self.map.iter().filter(|(_, p)| p.area == area).map(|(n, _)| n.clone()).collect()
--- /dev/null
+++ b/kit/src/fleet/scale.rs
@@ -0,0 +1,345 @@
+//! A scale run: real hubs, spokes and servers beside hollow nodes, which share this process and speak the peers'
+//! messages truly (join, beat, relay, news, leaving and coming back) but carry no callers.
+
+use std::{
+    cell::{Cell, RefCell},
+    fs,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{
+    Bounds,
+    edge::operator::{Doorway, Group, Set},
+    http::Client,
+    seam::Env,
+    tree::Tree,
+};
+use nanoserde::SerJson;
+use wire::{
+    Ask, AskReturn, Beat, BeatReturn, Body, Held, Hello, News, Out, Sight,
+    relay::{Head, Relay, Who},
+};
+
+use super::{Layout, Procs, Run, ask, chief, configure, ready};
+
+/// What a scale run is asked for.
+#[derive(Clone, Debug)]
+pub struct Scale {
+    /// Numbers of hollow nodes, one point each.
+    pub nodes: Vec<usize>,
+    /// Groups beside the three that have servers; each has three servers that nobody started.
+    pub groups: usize,
+    /// Idle callers' sessions at one real spoke.
+    pub sessions: usize,
+    /// How long each point is measured.
+    pub span: Duration,
+    pub folder: PathBuf,
+    pub bins: PathBuf,
+}
+
+/// What one point showed.
+#[derive(Clone, Debug, Default)]
+pub struct Point {
+    pub nodes: usize,
+    pub groups: usize,
+    /// Until every hollow node had heard the leading hub, in milliseconds.
+    pub joined_ms: u64,
+    /// Until half of them, and until all, had a changed set.
+    pub half_ms: u64,
+    pub all_ms: u64,
+    /// Returns heard by all hollow nodes together, a second.
+    pub returns: f64,
+    /// Frames that hollow nodes handed on for others, a second.
+    pub relayed: f64,
+    pub depth: u32,
+    /// Processor time, in percent of a core.
+    pub chief_cpu: f64,
+    pub voter_cpu: f64,
+    pub spoke_cpu: f64,
+    pub hollow_cpu: f64,
+    /// Peak memory, in MB.
+    pub chief_mb: f64,
+    pub voter_mb: f64,
+    pub spoke_mb: f64,
+    /// Bytes over loopback in all, a second.
+    pub bytes: f64,
+    /// Until every tenth hollow node, gone and come back at once, had heard the leading hub again.
+    pub back_ms: u64,
+}
+
+/// Bytes for each idle session at a spoke.
+#[derive(Clone, Copy, Debug)]
+pub struct Idle {
+    pub sessions: usize,
+    pub bytes: f64,
+}
+
+struct Hollow {
+    servers: Rc<Vec<String>>,
+    heard: Cell<Option<Instant>>,
+    returns: Cell<u64>,
+    /// When each sequence first came.
+    seen: RefCell<Option<(u64, Instant)>>,
+}
+
+impl Head for Hollow {
+    fn rooted(&self) -> bool {
+        false
+    }
+
+    fn beat(&self, beat: &mut Beat) {
+        for s in self.servers.iter() {
+            beat.shares.push(Held { server: s.clone(), count: 2, want: 2 });
+            beat.sights.push(Sight { server: s.clone(), age: 20, line: 1, index: 7, ..Sight::default() });
+        }
+    }
+
+    fn returned(&self, _ret: BeatReturn, _sent: Duration) {
+        self.returns.set(self.returns.get() + 1);
+        if self.heard.get().is_none() {
+            self.heard.set(Some(Instant::now()));
+        }
+    }
+
+    fn news(&self, news: &Rc<News>) {
+        let sequence = news.image.as_ref().map_or(0, |i| i.sequence);
+        let mut seen = self.seen.borrow_mut();
+        if seen.is_none_or(|s| s.0 < sequence) {
+            *seen = Some((sequence, Instant::now()));
+        }
+    }
+
+    fn beaten(&self, _beat: Beat) -> Option<BeatReturn> {
+        None
+    }
+
+    fn asked(&self, _ask: Ask, _done: Box<dyn FnOnce(AskReturn)>) {}
+
+    fn other(&self, _from: &Hello, _body: Body, _out: &Out) {}
+}
+
+struct Node {
+    head: Rc<Hollow>,
+    relay: Rc<Relay>,
+    _tree: Tree,
+}
+
+/// Processor ticks and peak memory in MB of a process of this fleet, or of this one.
+fn usage(pid: u32) -> (u64, f64) {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let rest: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let tick = |i: usize| rest.get(i).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
+    (tick(11) + tick(12), memory(pid, "VmHWM"))
+}
+
+fn memory(pid: u32, field: &str) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|l| l.starts_with(field)).unwrap_or("");
+    line.split_whitespace().nth(1).and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+}
+
+fn loopback() -> u64 {
+    let text = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find(|l| l.trim_start().starts_with("lo:")).unwrap_or("");
+    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn set(layout: &Layout, groups: usize, mark: u64) -> String {
+    let mut all: Vec<Group> = layout.groups().iter().map(|(n, s)| Group::plain(n, s, layout.cap as u64)).collect();
+    let servers = |g: usize| (0..3).map(|i| format!("x{g}-{i}")).collect::<Vec<_>>();
+    all.extend((0..groups).map(|g| Group::plain(&format!("x{g}"), &servers(g), 60)));
+    let mut doors: Vec<Doorway> = all.iter().map(|g| Doorway::plain(&format!("d-{}", g.name), &g.name, "bound")).collect();
+    doors.push(Doorway::plain(&format!("mark{mark}"), "g1", "any"));
+    Set { after: None, doorways: doors, groups: all, limits: None, number: None, note: String::new() }.serialize_json()
+}
+
+async fn join(env: &Env, layout: &Layout, servers: &Rc<Vec<String>>, i: usize) -> std::io::Result<Node> {
+    let sock = env.listen("127.0.0.1:0".parse().expect("an address")).await?;
+    let who = Who {
+        name: format!("hollow{i}"),
+        area: layout.areas[i % 3].clone(),
+        hub: false,
+        peer: sock.addr(),
+        http: sock.addr(),
+        seeds: layout.hubs.iter().map(|h| h.peer).collect(),
+        boot: env.rand(),
+    };
+    let relay = Relay::new(env, who, Bounds::default());
+    let (heard, returns) = (Cell::default(), Cell::default());
+    let head = Rc::new(Hollow { servers: servers.clone(), heard, returns, seen: RefCell::default() });
+    relay.lead(head.clone());
+    let mut tree = Tree::new(env);
+    relay.tend(&mut tree, sock);
+    Ok(Node { head, relay, _tree: tree })
+}
+
+async fn until(env: &Env, most: Duration, test: impl Fn() -> bool) -> Option<u64> {
+    let start = Instant::now();
+    while !test() {
+        if start.elapsed() > most {
+            return None;
+        }
+        env.sleep(Duration::from_millis(5)).await;
+    }
+    Some(start.elapsed().as_millis() as u64)
+}
+
+/// Most of the machine's memory and of its processes that a run may take.
+fn bears(scale: &Scale) -> Result<(), String> {
+    let info = fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let line = info.lines().find(|l| l.starts_with("MemTotal")).unwrap_or("");
+    let total = line.split_whitespace().nth(1).and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0;
+    let top = scale.nodes.iter().max().copied().unwrap_or(0);
+    let want = top as f64 * (0.4 + scale.groups as f64 * 0.004);
+    if want > total / 2.0 {
+        return Err(format!("--nodes {top}: about {want:.0} MB, more than half of the {total:.0} MB there are"));
+    }
+    let files = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
+    if top as u64 * 16 > files {
+        return Err(format!("--nodes {top}: about {} files, and {files} may be open", top * 16));
+    }
+    Ok(())
+}
+
+/// Runs all points, one after the other, each with processes of its own.
+pub async fn scale(env: &Env, scale: &Scale, mut told: impl FnMut(&Point)) -> Result<Vec<Point>, String> {
+    bears(scale)?;
+    let mut out = Vec::new();
+    for n in &scale.nodes {
+        let point = point(env, scale, *n).await?;
+        told(&point);
+        out.push(point);
+    }
+    Ok(out)
+}
+
+fn fleet(scale: &Scale, name: &str) -> Result<(Layout, Procs), String> {
+    let layout = Layout::new(3, 60, Layout::ports());
+    let run = Run {
+        machines: 3,
+        cap: 60,
+        sessions: 0,
+        rate: 0.0,
+        span: Duration::ZERO,
+        steps: Vec::new(),
+        folder: scale.folder.join(name),
+        bins: scale.bins.clone(),
+    };
+    let procs = Procs::start(&run, &layout)?;
+    Ok((layout, procs))
+}
+
+async fn point(env: &Env, scale: &Scale, n: usize) -> Result<Point, String> {
+    let most = Duration::from_secs(60);
+    let (layout, procs) = fleet(scale, &format!("n{n}-g{}", scale.groups))?;
+    configure(env, &layout, most).await?;
+    ready(env, &layout, most).await?;
+    put(env, &layout, scale.groups, 0).await?;
+    let servers = Rc::new(layout.groups().into_iter().flat_map(|g| g.1).collect::<Vec<_>>());
+    let mut nodes = Vec::new();
+    let start = Instant::now();
+    for i in 0..n {
+        nodes.push(join(env, &layout, &servers, i).await.map_err(|e| e.to_string())?);
+        if i % 20 == 19 {
+            env.sleep(Duration::from_millis(20)).await;
+        }
+    }
+    until(env, most, || nodes.iter().all(|x| x.head.heard.get().is_some())).await.ok_or("not all nodes joined")?;
+    let joined_ms = start.elapsed().as_millis() as u64;
+    env.sleep(Duration::from_secs(3)).await;
+
+    let lead = chief(env, &layout).await.ok_or("no hub leads")?;
+    let voter = layout.hubs.iter().find(|h| h.name != lead).ok_or("one hub only")?.name.clone();
+    let pid = |name: &str| procs.pid(name).unwrap_or(0);
+    let pids = [pid(&lead), pid(&voter), pid(&layout.spokes[0].name), std::process::id()];
+    let before = pids.map(|p| usage(p).0);
+    let (bytes, at) = (loopback(), Instant::now());
+    let sums = |f: &dyn Fn(&Node) -> u64| nodes.iter().map(f).sum::<u64>();
+    let (returns, relayed) = (sums(&|x| x.head.returns.get()), sums(&|x| x.relay.handed.get()));
+    env.sleep(scale.span).await;
+    let span = at.elapsed().as_secs_f64();
+    let after = pids.map(usage);
+    let cpu = |i: usize| (after[i].0 - before[i]) as f64 / span;
+    let rate = |now: u64, was: u64| (now - was) as f64 / span;
+    let mut p = Point {
+        nodes: n,
+        groups: scale.groups + 3,
+        joined_ms,
+        returns: rate(sums(&|x| x.head.returns.get()), returns),
+        relayed: rate(sums(&|x| x.relay.handed.get()), relayed),
+        depth: nodes.iter().map(|x| x.relay.place().1).max().unwrap_or(0),
+        chief_cpu: cpu(0),
+        voter_cpu: cpu(1),
+        spoke_cpu: cpu(2),
+        hollow_cpu: cpu(3),
+        chief_mb: after[0].1,
+        voter_mb: after[1].1,
+        spoke_mb: after[2].1,
+        bytes: rate(loopback(), bytes),
+        ..Point::default()
+    };
+    let (sequence, sent) = put(env, &layout, scale.groups, 1).await?;
+    let has = |x: &&Node| x.head.seen.borrow().is_some_and(|s| s.0 >= sequence);
+    until(env, most, || nodes.iter().all(|x| has(&x))).await.ok_or("the change did not reach all")?;
+    let mut times: Vec<u64> = nodes
+        .iter()
+        .filter_map(|x| x.head.seen.borrow().map(|s| s.1.saturating_duration_since(sent).as_millis() as u64))
+        .collect();
+    times.sort();
+    (p.half_ms, p.all_ms) = (times[times.len() / 2], times[times.len() - 1]);
+
+    // A tenth goes at once and comes back.
+    let some = (n / 10).max(1);
+    nodes.drain(..some);
+    let start = Instant::now();
+    for i in 0..some {
+        nodes.push(join(env, &layout, &servers, n + i).await.map_err(|e| e.to_string())?);
+    }
+    until(env, most, || nodes.iter().all(|x| x.head.heard.get().is_some())).await.ok_or("not all nodes came back")?;
+    p.back_ms = start.elapsed().as_millis() as u64;
+    Ok(p)
+}
+
+/// Sends a set with a new doorway in it; its sequence, and when it was sent.
+async fn put(env: &Env, layout: &Layout, groups: usize, mark: u64) -> Result<(u64, Instant), String> {
+    let mut why = "nobody answered".to_string();
+    for _ in 0..20 {
+        let sent = Instant::now();
+        match ask(env, layout.spokes[0].http, "PUT", "/ops/doorways", &set(layout, groups, mark)).await {
+            Some(r) if r.code == 200 => {
+                let text = String::from_utf8_lossy(&r.body).to_string();
+                let digits: String = text.chars().filter(char::is_ascii_digit).collect();
+                return Ok((digits.parse().unwrap_or(0), sent));
+            }
+            Some(r) => why = format!("{} {}", r.code, String::from_utf8_lossy(&r.body)),
+            None => {}
+        }
+        env.sleep(Duration::from_millis(200)).await;
+    }
+    Err(why)
+}
+
+/// Opens idle sessions at one real spoke, in four steps; what each of them takes of its memory.
+pub async fn idle(env: &Env, scale: &Scale) -> Result<Vec<Idle>, String> {
+    let most = Duration::from_secs(60);
+    let (layout, procs) = fleet(scale, "idle")?;
+    configure(env, &layout, most).await?;
+    ready(env, &layout, most).await?;
+    let pid = procs.pid(&layout.spokes[0].name).unwrap_or(0);
+    let (mut held, mut out) = (Vec::new(), Vec::new());
+    let start = memory(pid, "VmRSS");
+    for step in 1..=4 {
+        while held.len() < scale.sessions * step / 4 {
+            let line = Client::connect(env, layout.spokes[0].http, most, 1 << 16).await;
+            let mut line = line.map_err(|e| e.to_string())?;
+            let _ = line.call("GET", "/status", &[], Default::default(), most).await;
+            held.push(line);
+        }
+        env.sleep(Duration::from_millis(500)).await;
+        let bytes = (memory(pid, "VmRSS") - start) * 1048576.0 / held.len() as f64;
+        out.push(Idle { sessions: held.len(), bytes });
+    }
+    Ok(out)
+}
--- a/kit/src/main.rs
+++ b/kit/src/main.rs
@@ -70,6 +70,22 @@
             }
         }
         Tool::Sim(a) => sim(&a),
+        Tool::Scale(a) => {
+            let nodes: Result<Vec<usize>, _> = a.nodes.split(',').map(str::parse).collect();
+            let nodes = nodes.unwrap_or_else(|_| usage(format!("--nodes {:?}: numbers with commas", a.nodes)));
+            if nodes.contains(&0) || a.seconds <= 0.0 || a.seconds > 600.0 {
+                usage("--nodes above 0 and --seconds from 0 to 600 belong here".into());
+            }
+            let own = std::env::current_exe().ok().and_then(|p| p.parent().map(PathBuf::from)).unwrap_or_default();
+            let below = format!("portspoke-scale-{}", std::process::id());
+            let folder = a.folder.unwrap_or_else(|| std::env::temp_dir().join(below));
+            let span = Duration::from_secs_f64(a.seconds);
+            let run = fleet::Scale { nodes, groups: a.groups, sessions: a.sessions, span, folder, bins: own };
+            if let Err(e) = tool::scale::run(&boot::world(None), &run).await {
+                eprintln!("{e}");
+                exit(2);
+            }
+        }
         Tool::Figures(a) => kit::sim::figures(a.only.as_deref()),
         Tool::Ops(a) => ops(&a).await,
         Tool::Platform(a) => {
--- a/kit/src/tool/args.rs
+++ b/kit/src/tool/args.rs
@@ -19,6 +19,28 @@
     Sim(SimArgs),
     Ops(OpsArgs),
     Figures(FiguresArgs),
+    Scale(ScaleArgs),
+}
+
+#[derive(FromArgs)]
+/// measure what docs/CAPACITY.md rests on: real hubs, spokes and servers beside hollow nodes that share this process
+#[argh(subcommand, name = "scale")]
+pub struct ScaleArgs {
+    /// numbers of hollow nodes, one point each (100,200,400,800)
+    #[argh(option, default = "\"100,200,400,800\".into()")]
+    pub nodes: String,
+    /// groups beside the three that have servers (0)
+    #[argh(option, default = "0")]
+    pub groups: usize,
+    /// idle sessions at one spoke, measured in four steps (0: not measured)
+    #[argh(option, default = "0")]
+    pub sessions: usize,
+    /// how long each point is measured, in seconds (6)
+    #[argh(option, default = "6.0")]
+    pub seconds: f64,
+    /// folder for settings, data and logs (a new one below the system's temporary folder)
+    #[argh(option)]
+    pub folder: Option<PathBuf>,
 }
 
 #[derive(FromArgs)]
--- a/kit/src/tool/mod.rs
+++ b/kit/src/tool/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod args;
 mod ops;
+pub mod scale;
 mod sim;
 
 pub use ops::ops;
