A control node is replaced by an empty one at another address; nodes are told of together

Ruled out: swapping one control node for another in one step (majorities of old and new need not meet).

Change: the roster in the image decides who is dialled and how many make a majority; a newcomer is taken in while there are too few or one has been lost for a quarter of the drain bound, then the lost one is let go of; how many are to agree follows from how many may be lost. Control nodes that come by are dialled. News tells of at most 64 nodes, those nearest to the root, and what changes within a pulse is told together.

--- a/base/src/settings.rs
+++ b/base/src/settings.rs
@@ -28,6 +28,8 @@
         pub most_inbox: u64 = 256,
         /// Whether a node serves callers on while its own area is emptied of servers.
         pub keep_on: bool = false,
+        /// How many control nodes may be lost at once; one more than twice as many agree.
+        pub losses: u64 = 1,
     }
 }
 
@@ -98,6 +100,7 @@
     pub most_body: usize,
     pub most_inbox: usize,
     pub keep_on: bool,
+    pub losses: usize,
 }
 
 /// Reads a settings file's text.
@@ -141,6 +144,7 @@
         range("policy.resample_count", p.resample_count, 1, 10_000);
         range("most_sessions", self.most_sessions, 1, 1_000_000);
         range("most_body", self.most_body, 1024, 1 << 28);
+        range("losses", self.losses, 1, 4);
         range("most_inbox", self.most_inbox, 1, 100_000);
         if !(0.0..=1.0).contains(&p.max_error_rate) {
             bad.push(format!("policy.max_error_rate: {} is not within 0 to 1", p.max_error_rate));
@@ -179,6 +183,7 @@
             most_body: self.most_body as usize,
             most_inbox: self.most_inbox as usize,
             keep_on: self.keep_on,
+            losses: self.losses as usize,
         })
     }
 }
--- a/hub/src/agree/campaign.rs
+++ b/hub/src/agree/campaign.rs
@@ -76,6 +76,7 @@
                 p.born = v.born;
                 p.blank = v.blank;
             }
+            let need = s.need();
             let counts = v.granted && s.counts(from, v.born) && s.counts(&self.who.name, s.kept.born);
             let counts = counts || (v.granted && self.loose.blank_votes);
             match &mut s.role {
@@ -83,7 +84,7 @@
                     if counts && !got.contains(&from.to_string()) {
                         got.push(from.into());
                     }
-                    (!got.is_empty(), *trial, *named)
+                    (got.len() + 1 >= need, *trial, *named)
                 }
                 _ => return,
             }
@@ -157,12 +158,13 @@
                 return;
             }
             let Some(image) = &s.kept.image else { return };
-            let new = s.peers.iter().find(|(n, p)| p.blank && p.born != 0 && p.out.is_some() && !s.counts(n, p.born));
-            let Some((name, p)) = new else { return };
             let mut image: Image = image.clone();
-            image.homes.retain(|h| h.name != *name);
-            image.homes.push(Home { name: name.clone(), born: p.born });
-            self.log(format!("{name} has a new disk; admitting it"));
+            let text = match self.changed(&s, &mut image) {
+                Some(t) => t,
+                None => return,
+            };
+            drop(s);
+            self.log(text);
             image
         };
         if self.write(store, image).await.is_some() {
@@ -171,6 +173,40 @@
         }
     }
 
+    /// The next change of the roster, one control node at a time, so that majorities before and after always meet: a
+    /// known one with a new disk is taken in again; a newcomer is taken in while there are too few, or one of them has
+    /// been lost for long; one that is lost is let go of when there are more than are to be.
+    fn changed(&self, s: &super::State, image: &mut Image) -> Option<String> {
+        let now = self.env.now();
+        let long = self.bounds.gone();
+        let lost = |h: &Home| {
+            let since = match s.peers.get(&h.name) {
+                Some(p) if p.out.is_some() => return false,
+                Some(p) => p.lost.unwrap_or(s.led_since),
+                None => s.led_since,
+            };
+            h.name != self.who.name && now > since.max(s.led_since) + long
+        };
+        if image.homes.len() > self.size
+            && let Some(i) = image.homes.iter().position(lost)
+        {
+            let old = image.homes.remove(i);
+            return Some(format!("{} is lost; it is off the roster", old.name));
+        }
+        let new = s.peers.iter().find(|(n, p)| p.born != 0 && p.out.is_some() && !s.counts(n, p.born));
+        let (name, p) = new?;
+        let home = Home { name: name.clone(), born: p.born, peer: p.addr.clone() };
+        if let Some(h) = image.homes.iter_mut().find(|h| h.name == *name) {
+            *h = home;
+            return Some(format!("{name} has a new disk; admitting it"));
+        }
+        let room = image.homes.len() < self.size || (image.homes.len() == self.size && image.homes.iter().any(lost));
+        room.then(|| {
+            image.homes.push(home);
+            format!("{name} is new; it is on the roster")
+        })
+    }
+
     /// Forms the very first image, if all three say that they remember nothing and this is the first by name.
     async fn form(&self, store: &mut Store) {
         let kept = {
@@ -183,8 +219,12 @@
             if blank != self.who.seeds.len() - 1 || !first {
                 return;
             }
-            let mut homes: Vec<_> = s.peers.iter().map(|(n, p)| Home { name: n.clone(), born: p.born }).collect();
-            homes.push(Home { name: self.who.name.clone(), born: s.kept.born });
+            let mut homes: Vec<_> = s
+                .peers
+                .iter()
+                .map(|(n, p)| Home { name: n.clone(), born: p.born, peer: p.addr.clone() })
+                .collect();
+            homes.push(Home { name: self.who.name.clone(), born: s.kept.born, peer: self.who.peer.to_string() });
             let limits = wire::Limits { statement_ms: 4000, idle_ms: 10000 };
             // From nothing, or from the one image that a person took from the last disk.
             let old = s.kept.image.clone().unwrap_or(Image { limits: Some(limits), ..Image::default() });
--- a/hub/src/agree/mod.rs
+++ b/hub/src/agree/mod.rs
@@ -37,6 +37,10 @@
     born: u64,
     blank: bool,
     rescued: bool,
+    /// Where it is dialled.
+    addr: String,
+    /// Since when no link to it stands.
+    lost: Option<Duration>,
     at: (u64, u64),
     /// When the newest pulse that it acknowledged was sent.
     acked: Option<Duration>,
@@ -96,13 +100,17 @@
     /// What the holder who named this hub its successor left: its term, when that was told, the grants.
     heir: RefCell<Option<(u64, Duration, Vec<OutLead>)>>,
     loose: Loose,
+    /// How many control nodes are to agree.
+    size: usize,
+    /// Addresses of control nodes that came by.
+    guests: RefCell<BTreeSet<std::net::SocketAddr>>,
     /// Processes that were told of as counting by other bounds.
     odd: RefCell<BTreeSet<String>>,
 }
 
 impl Agree {
     /// A hub with what its disk remembers; a blank one gets a new incarnation.
-    pub fn new(env: &Env, who: Who, bounds: Bounds, kept: Kept, loose: Loose) -> (Rc<Self>, desk::Inbox) {
+    pub fn new(env: &Env, who: Who, bounds: Bounds, size: usize, kept: Kept, loose: Loose) -> (Rc<Self>, desk::Inbox) {
         let blank = kept.image.is_none() || kept.rescued;
         let mut kept = kept;
         if blank {
@@ -133,6 +141,8 @@
             estate: RefCell::default(),
             heir: RefCell::default(),
             loose,
+            size,
+            guests: RefCell::default(),
             odd: RefCell::default(),
         };
         (Rc::new(me), rest)
@@ -252,7 +262,12 @@
     fn majority(&self, me: &str, test: impl Fn(&Peer) -> bool) -> bool {
         let own = usize::from(!self.blank && self.counts(me, self.kept.born));
         let more = self.peers.iter().filter(|(n, p)| !p.blank && self.counts(n, p.born) && test(p)).count();
-        own + more >= 2
+        own + more >= self.need()
+    }
+
+    /// How many of the control nodes whose memory counts make a majority.
+    fn need(&self) -> usize {
+        self.kept.image.as_ref().map_or(3, |i| i.homes.len()) / 2 + 1
     }
 
     /// The latest time since which a majority is known to have held to this hub.
@@ -266,7 +281,7 @@
             .chain(own)
             .collect();
         all.sort();
-        all.len().checked_sub(2).map(|i| all[i])
+        all.len().checked_sub(self.need()).map(|i| all[i])
     }
 
     /// A vote this hub would send out now.
--- a/hub/src/agree/peer.rs
+++ b/hub/src/agree/peer.rs
@@ -1,14 +1,49 @@
-use std::{convert::Infallible, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use base::seam::Job;
 
 use wire::{Body, Hello, In, Out};
 
 use super::Agree;
 
 impl Agree {
+    /// Another control node came by; it is dialled from now on.
+    pub fn met(&self, peer: &str) {
+        if let Ok(addr) = peer.parse() {
+            self.guests.borrow_mut().insert(addr);
+        }
+    }
+
+    /// Keeps a link to every other control node: those named at the start, those on the roster, those that came by.
+    pub async fn peers(self: Rc<Self>) -> Result<(), Infallible> {
+        let mut jobs: BTreeMap<SocketAddr, Job> = BTreeMap::new();
+        loop {
+            let mut all: BTreeSet<SocketAddr> = self.who.seeds.iter().copied().collect();
+            all.extend(self.guests.borrow().iter());
+            if let Some(i) = &self.state.borrow().kept.image {
+                all.extend(i.homes.iter().filter_map(|h| h.peer.parse::<SocketAddr>().ok()));
+            }
+            for addr in all.into_iter().filter(|a| *a != self.who.peer) {
+                jobs.entry(addr).or_insert_with(|| {
+                    let me = self.clone();
+                    self.env.spawn(async move {
+                        let _ = me.peer(addr).await;
+                    })
+                });
+            }
+            self.env.sleep(self.bounds.pulse()).await;
+        }
+    }
+
     /// Keeps a link to one other hub, for this hub's own votes and pulses.
     pub async fn peer(self: Rc<Self>, addr: SocketAddr) -> Result<(), Infallible> {
         loop {
-            if let Some((from, inn, out)) = self.dial(addr).await {
+            if let Some((from, inn, out)) = self.dial(addr).await.filter(|d| d.0.name != self.who.name) {
                 self.stay(from, inn, out).await;
             }
             self.env.sleep(self.bounds.pulse()).await;
@@ -41,6 +76,8 @@
             let mut s = self.state.borrow_mut();
             let p = s.peers.entry(from.name.clone()).or_default();
             p.out = Some(out);
+            p.addr.clone_from(&from.peer);
+            p.lost = None;
             p.born = from.born;
             p.blank = from.blank;
             p.rescued = from.rescued;
@@ -58,6 +95,7 @@
         }
         if let Some(p) = self.state.borrow_mut().peers.get_mut(&from.name) {
             p.out = None;
+            p.lost = Some(self.env.now());
         }
     }
 }
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -34,6 +34,9 @@
 use registry::{Seat, Told};
 use roll::{Phase, Roll};
 
+/// How many nodes news tells of at most.
+const FELLOWS: usize = 64;
+
 /// The leading hub's desk; empty on the others.
 pub struct Duty {
     pub(crate) env: Env,
@@ -46,6 +49,8 @@
     talks: RefCell<BTreeMap<String, Talk>>,
     servers: RefCell<BTreeMap<String, Told>>,
     seats: RefCell<BTreeMap<String, Seat>>,
+    /// The nodes that the newest news told of.
+    told_nodes: RefCell<Vec<wire::Node>>,
     ledger: RefCell<Ledger>,
     standings: RefCell<BTreeMap<String, Standing>>,
     seen: RefCell<BTreeMap<String, Seen>>,
@@ -83,6 +88,7 @@
             talks: RefCell::default(),
             servers: RefCell::default(),
             seats: RefCell::default(),
+            told_nodes: RefCell::default(),
             ledger: RefCell::default(),
             standings: RefCell::default(),
             seen: RefCell::default(),
@@ -177,12 +183,24 @@
             mark: Some(self.mark()),
             image: Some((*image).clone()),
             servers: self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect(),
-            nodes: self.seats.borrow().values().map(|s| s.node.clone()).collect(),
+            nodes: self.fellows(),
         };
+        self.told_nodes.borrow_mut().clone_from(&news.nodes);
         self.relay.publish(news);
         self.bell.ring();
     }
 
+    /// The nodes that news tells of, for others to hang on: those nearest to the root.
+    fn fellows(&self) -> Vec<wire::Node> {
+        let seats = self.seats.borrow();
+        let mut all: Vec<&wire::Node> = seats.values().map(|s| &s.node).collect();
+        if all.len() > FELLOWS {
+            all.sort_by_key(|n| (n.depth, &n.name));
+            all.truncate(FELLOWS);
+        }
+        all.into_iter().cloned().collect()
+    }
+
     /// Takes a server's own report.
     pub fn report(&self, r: &Report) {
         let now = self.env.now();
@@ -243,19 +261,14 @@
         }
         let image = self.agree.image()?;
         let now = self.env.now();
-        let new = {
+        {
             let mut seats = self.seats.borrow_mut();
-            let seat = Seat::from_beat(&beat, now);
-            let old = seats.insert(beat.name.clone(), seat);
+            seats.insert(beat.name.clone(), Seat::from_beat(&beat, now));
             if beat.leaving {
                 seats.remove(&beat.name);
             }
-            old.is_none_or(|o| o.node != Seat::from_beat(&beat, now).node) || beat.leaving
-        };
-        self.ledger.borrow_mut().told(&beat, now);
-        if new {
-            self.publish();
         }
+        self.ledger.borrow_mut().told(&beat, now);
         if beat.hub || beat.leaving {
             return Some(self.ret(&beat, Vec::new(), Vec::new()));
         }
@@ -334,9 +347,9 @@
                 moved |= t.gone != (quiet || t.left);
                 t.gone = quiet || t.left;
             }
-            let before = self.seats.borrow().len();
             self.seats.borrow_mut().retain(|_, s| now.saturating_sub(s.heard) < gone * 2);
-            moved |= before != self.seats.borrow().len();
+            // Nodes that come and go together are told of together.
+            moved |= *self.told_nodes.borrow() != self.fellows();
             if moved {
                 self.publish();
             }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    fn met(&self, from: &Hello) {
+        if from.hub && self.agree.agrees(&from.name, from.rule) {
+            self.agree.met(&from.peer);
+        }
+    }
+
     fn hello(&self, hello: &mut Hello) {
         self.agree.hello(hello);
     }
@@ -145,7 +151,7 @@
     let peer = env.listen(place.peer).await?;
     let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(place.http).await?)));
     let loose = Loose { blank_votes: tricks.blank_votes, no_lease: tricks.no_lease, any_rule: tricks.any_rule };
-    let (agree, inbox) = Agree::new(env, who.clone(), place.bounds.clone(), kept, loose);
+    let (agree, inbox) = Agree::new(env, who.clone(), place.bounds.clone(), place.losses * 2 + 1, kept, loose);
     let relay = Relay::new(env, who.clone(), place.bounds.clone());
     let root = Rc::new(Root { agree: agree.clone(), duty: Default::default(), env: env.clone() });
     let duty = Duty::new(env, agree.clone(), relay.clone(), place.bounds.clone(), place.platform, manner, tricks);
@@ -155,10 +161,8 @@
 
     let desk = [env.spawn(agree.clone().desk(inbox, store)), env.spawn(agree.clone().ticks())];
     let mut tree = Tree::new(env);
-    for seed in who.seeds.iter().copied().filter(|s| *s != who.peer) {
-        let a = agree.clone();
-        tree.child("peer", move || a.clone().peer(seed));
-    }
+    let a = agree.clone();
+    tree.child("peers", move || a.clone().peers());
     relay.tend(&mut tree, peer);
     let d = duty.clone();
     tree.child("duty", move || d.clone().run());
--- a/kit/src/sim/hall.rs
+++ b/kit/src/sim/hall.rs
@@ -88,6 +88,9 @@
             }
             add(&format!("n{a}{m}"), AREAS[a], What::Spoke { text });
         }
+        // An empty machine that may take the place of another control node, at an address that nobody was told.
+        let text = settings("spare", "10.2.0.200", AREAS[1], &seeds, place, true);
+        add("hx", AREAS[1], What::Hub { text });
         for (g, (group, servers)) in groups.iter().enumerate() {
             for (i, s) in servers.iter().enumerate() {
                 // Each group's first leader stands in another area.
@@ -107,7 +110,13 @@
             }
         }
         let names: Vec<String> = me.procs.borrow().keys().cloned().collect();
-        names.iter().for_each(|n| me.launch(n));
+        for n in &names {
+            if n == "hx" {
+                me.sim.kill(me.procs.borrow()[n].host, false);
+            } else {
+                me.launch(n);
+            }
+        }
         me
     }
 
--- a/kit/tests/hall.rs
+++ b/kit/tests/hall.rs
@@ -110,7 +110,7 @@
 }
 
 /// What the bench's days brought out, each as it was met.
-const DAYS: [&str; 9] = [
+const DAYS: [&str; 10] = [
     // Packets pass one way only while the leading hub stands in that area (docs/incidents/1.md).
     "at north     south
      2  .         cut>north
@@ -154,6 +154,12 @@
      6  thaw   .     .
      8  kill   kill  .
      9  start  start .",
+    // A control node is replaced by an empty one at another address; then another is lost, and the first comes back.
+    "at h0    hx    h1
+     2  dark  .     .
+     3  .     start .
+     9  .     .     dark
+     13 start .     .",
     // A hub's disk is lost, then the others' power.
     "at h0    h1    h2
      2  wipe  .     .
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -147,6 +147,9 @@
     pub name: String,
     #[prost(uint64, tag = "2")]
     pub born: u64,
+    /// Where it is dialled; empty from builds that did not tell.
+    #[prost(string, tag = "3")]
+    pub peer: String,
 }
 
 impl Elect {
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -44,6 +44,8 @@
     fn asked(&self, ask: Ask, done: Box<dyn FnOnce(AskReturn)>);
     /// A frame that is neither; hubs agree by such.
     fn other(&self, from: &Hello, body: Body, out: &Out);
+    /// Another process opened a link.
+    fn met(&self, _from: &Hello) {}
     /// Fills in what only a hub says of itself.
     fn hello(&self, _hello: &mut Hello) {}
 }
--- a/wire/src/relay/serve.rs
+++ b/wire/src/relay/serve.rs
@@ -31,6 +31,7 @@
         let (mut inn, out) = link::open(&self.env, io);
         let span = self.bounds().call();
         let Ok(Ok(Body::Hello(from))) = self.env.within(span, inn.next()).await else { return };
+        self.head().met(&from);
         out.send(Body::Hello(self.hello()));
         out.send(Body::Root(self.root()));
         let id = self.next();
