--- a/kit/src/sim/hall.rs
+++ b/kit/src/sim/hall.rs
@@ -223,7 +223,7 @@
     }
 
     /// Carries out one word: `kill`, `dark`, `start`, `freeze`, `thaw`, `leave`, `wipe`, `deaf`, `hear`, `mute`, `loud`,
-    /// `drain`, `cut>NAME` (one way), `part>NAME`, `heal>NAME`.
+    /// `drain`, `shut` and `open` (takes no new sessions), `quit` (leaves in order and ends), `cut>NAME` (one way), `part>NAME`, `heal>NAME`.
     pub fn act(&self, name: &str, word: &str) {
         let all = self.meant(name);
         let host = |n: &str| self.procs.borrow()[n].host;
@@ -265,6 +265,16 @@
                 "hear" => drop(self.bank.copy(n, |c| c.deaf = false)),
                 "mute" => drop(self.bank.copy(n, |c| c.mute = 20)),
                 "loud" => drop(self.bank.copy(n, |c| c.mute = 0)),
+                "shut" => drop(self.bank.copy(n, |c| c.shut = true)),
+                "open" => drop(self.bank.copy(n, |c| c.shut = false)),
+                "quit" => {
+                    let env = self.sim.env(self.procs.borrow()["desk"].host);
+                    let (nodes, name) = (self.control.clone(), n.clone());
+                    self.to_desk(async move {
+                        platform::stand::quit(&env, &nodes, &name).await;
+                    });
+                    self.sim.kill(host(n), false);
+                }
                 "drain" => drop(self.bank.copy(n, |c| c.draining = true)),
                 other => panic!("no word {other:?}"),
             }
--- a/kit/tests/hall.rs
+++ b/kit/tests/hall.rs
@@ -99,6 +99,21 @@
     });
 }
 
+#[test]
+fn a_refused_dial_leaves_standing_connections_in_use() {
+    let hall = clean(3, "at s00\n2 shut\n7 open");
+    let (good, bad) = (hall.ledger.good.get(), hall.ledger.bad.get());
+    assert!(bad * 100 < good, "{good} good, {bad} bad\n{}", hall.drawn());
+    assert_eq!(hall.bank.named.get(), 0, "nobody was to be named\n{}", hall.drawn());
+}
+
+#[test]
+fn a_server_that_left_is_off_the_roll() {
+    let hall = clean(4, "at s00\n2 drain\n8 quit\n14 .");
+    let log = hall.drawn();
+    assert!(log.contains("s00 has left g0"), "{log}");
+}
+
 #[test]
 fn days_with_faults_are_clean_and_served_afterwards() {
     for (i, text) in DAYS.iter().enumerate() {
