--- a/base/src/edge/operator.rs
+++ b/base/src/edge/operator.rs
@@ -191,8 +191,8 @@
 /// Every fault of a whole set; empty when it can be taken.
 pub fn check(doorways: &[Doorway], groups: &[Group], limits: &Limits) -> Vec<String> {
     let mut out = Vec::new();
-    if doorways.len() > 1000 {
-        out.push(format!("doorways: {} of at most 1000", doorways.len()));
+    if doorways.len() > 4000 {
+        out.push(format!("doorways: {} of at most 4000", doorways.len()));
     }
     if groups.len() > 100 {
         out.push(format!("groups: {} of at most 100", groups.len()));
--- a/hub/src/duty/ledger.rs
+++ b/hub/src/duty/ledger.rs
@@ -30,6 +30,8 @@
     /// Before this an earlier leading hub's leader grants may stand, beside those that are noted.
     doubt: Duration,
     shares: BTreeMap<String, BTreeMap<String, Lot>>,
+    /// How a server's cap is divided by wants, and when that was worked out: once a while for all, not for each node.
+    parts: BTreeMap<String, (Duration, u64, BTreeMap<String, u64>)>,
     leads: BTreeMap<String, BTreeMap<String, (u64, Duration)>>,
 }
 
@@ -130,7 +132,12 @@
             }
         }
         let lot = all.get(node).cloned().unwrap_or_default();
-        let fair = fair(all.iter().map(|(n, l)| (n.as_str(), l.want)), cap, node);
+        let fresh = |p: &&(Duration, u64, BTreeMap<String, u64>)| now < p.0 && p.1 == cap && p.2.contains_key(node);
+        if self.parts.get(server).filter(fresh).is_none() {
+            let parts = fair(all.iter().map(|(n, l)| (n.as_str(), l.want)), cap);
+            self.parts.insert(server.into(), (now + (until - now) / 16, cap, parts));
+        }
+        let fair = self.parts.get(server).and_then(|p| p.2.get(node)).copied().unwrap_or(0);
         let others: u64 = all.iter().filter(|(n, _)| *n != node).map(|(_, l)| l.count).sum();
         let free = cap.saturating_sub(others);
         let give = match (grace, soft) {
@@ -155,18 +162,17 @@
 }
 
 /// Divides a cap by wants: everyone gets what it wants up to an even part, the rest goes to those who want more.
-fn fair<'a>(wants: impl Iterator<Item = (&'a str, u64)>, cap: u64, node: &str) -> u64 {
+fn fair<'a>(wants: impl Iterator<Item = (&'a str, u64)>, cap: u64) -> BTreeMap<String, u64> {
     let mut rows: Vec<(u64, &str)> = wants.map(|(n, w)| (w.max(1), n)).collect();
     rows.sort();
     let mut left = cap;
     let mut heads = rows.len() as u64;
+    let mut out = BTreeMap::new();
     for (want, name) in rows {
         let part = want.min(left / heads.max(1));
-        if name == node {
-            return part;
-        }
+        out.insert(name.to_string(), part);
         left -= part;
         heads -= 1;
     }
-    0
+    out
 }
--- a/hub/src/ops.rs
+++ b/hub/src/ops.rs
@@ -18,8 +18,8 @@
 
 use crate::{duty::Duty, run::Tricks};
 
-/// The largest operator body.
-const MOST: usize = 256 << 10;
+/// The largest operator body; a set may carry the operators' own form of each item beside it.
+const MOST: usize = 1 << 20;
 
 type Done = Result<Return, Return>;
 
