One way for doors to accept and count, one way in for statements

Cause, on re-reading: the platform's door had an accept loop and a count beside those of the HTTP door; reads and writes opened with the same lines.

--- a/base/src/http/mod.rs
+++ b/base/src/http/mod.rs
@@ -4,7 +4,7 @@
 mod server;
 
 pub use client::{Client, Fault};
-pub use server::{Door, Session, Slot, serve};
+pub use server::{Count, Door, Session, Slot, next, serve};
 
 use bytes::Bytes;
 use hyper::HeaderMap;
--- a/base/src/http/server.rs
+++ b/base/src/http/server.rs
@@ -98,7 +98,16 @@
     }
 }
 
-struct Count(Rc<Cell<usize>>);
+/// One open connection of a door; counted until it is dropped.
+pub struct Count(Rc<Cell<usize>>);
+
+impl Door {
+    /// Counts a connection as open.
+    pub fn count(&self) -> Count {
+        self.open.set(self.open.get() + 1);
+        Count(self.open.clone())
+    }
+}
 
 impl Drop for Count {
     fn drop(&mut self) {
@@ -109,30 +118,32 @@
 /// A listener that its door may give up.
 pub type Slot = Rc<RefCell<Option<Rc<dyn Listener>>>>;
 
-/// Accepts connections until the door closes; whoever is in the queue by then is still let in.
-pub async fn serve(env: Env, sock: Slot, door: Door, make: Rc<dyn Fn() -> Rc<dyn Session>>) -> std::io::Result<()> {
+/// The next connection at a door. Once the door closes the listener is given up, and there is none any more.
+pub async fn next(env: &Env, sock: &Slot, door: &Door) -> Box<dyn Stream> {
     loop {
         let Some(lis) = sock.borrow().clone() else { return std::future::pending().await };
         let close = door.bell.until(|| door.closing.get().then_some(()));
-        let io = match select(lis.accept(), pin!(close)).await {
-            Either::Left((Ok(io), _)) => io,
+        match select(lis.accept(), pin!(close)).await {
+            Either::Left((Ok(io), _)) => return io,
             Either::Left((Err(e), _)) => {
                 env.log(Part::Door, format!("accept failed: {e}"));
                 env.sleep(std::time::Duration::from_millis(50)).await;
-                continue;
-            }
-            Either::Right(_) => {
-                sock.borrow_mut().take();
-                continue;
             }
-        };
+            Either::Right(_) => drop(sock.borrow_mut().take()),
+        }
+    }
+}
+
+/// Accepts connections until the door closes; whoever is in the queue by then is still let in.
+pub async fn serve(env: Env, sock: Slot, door: Door, make: Rc<dyn Fn() -> Rc<dyn Session>>) -> std::io::Result<()> {
+    loop {
+        let io = next(&env, &sock, &door).await;
         if door.open.get() >= door.most + CROWD {
             env.log(Part::Door, "too many connections; one was closed unheard");
             continue;
         }
         let full = door.open.get() >= door.most;
-        door.open.set(door.open.get() + 1);
-        let count = Count(door.open.clone());
+        let count = door.count();
         let sess = if full { Rc::new(Crowd) } else { make() };
         let door = door.clone();
         env.spawn(async move {
--- a/base/src/talk/mod.rs
+++ b/base/src/talk/mod.rs
@@ -11,7 +11,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
     /// Opens a transaction; one that only reads may run on a follower.
-    Begin { reads: bool },
+    Begin {
+        reads: bool,
+    },
     Commit,
     Rollback,
     Read,
@@ -19,7 +21,9 @@
     /// Sets a session value.
     Set,
     /// Prepares a name for a statement that reads or writes.
-    Prepare { writes: bool },
+    Prepare {
+        writes: bool,
+    },
     /// Runs a prepared name.
     Use,
     /// Forgets a prepared name.
@@ -29,9 +33,13 @@
     /// Asked of a server only: where it stands.
     Place,
     /// Asked of a server only: receive nothing more until freed, ahead of an election of this line.
-    Hold { line: u64 },
+    Hold {
+        line: u64,
+    },
     /// Asked of a server only: follow, if it leads on an earlier line.
-    Yield { line: u64 },
+    Yield {
+        line: u64,
+    },
     /// Asked of a server only: receive again.
     Free,
 }
--- a/hub/src/agree/campaign.rs
+++ b/hub/src/agree/campaign.rs
@@ -219,11 +219,8 @@
             if blank != self.who.seeds.len() - 1 || !first {
                 return;
             }
-            let mut homes: Vec<_> = s
-                .peers
-                .iter()
-                .map(|(n, p)| Home { name: n.clone(), born: p.born, peer: p.addr.clone() })
-                .collect();
+            let mut homes: Vec<_> =
+                s.peers.iter().map(|(n, p)| Home { name: n.clone(), born: p.born, peer: p.addr.clone() }).collect();
             homes.push(Home { name: self.who.name.clone(), born: s.kept.born, peer: self.who.peer.to_string() });
             let limits = wire::Limits { statement_ms: 4000, idle_ms: 10000 };
             // From nothing, or from the one image that a person took from the last disk.
--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -199,13 +199,8 @@
     async fn write_down(&self, g: &Group, p: &Sighted) -> bool {
         let before = self.agree.image().and_then(|i| i.elect(&g.name).cloned());
         let (index, from) = (p.place.index, p.place.line);
-        let put = Elect {
-            group: g.name.clone(),
-            line: p.line,
-            server: p.name.clone(),
-            from_line: from,
-            from_index: index,
-        };
+        let put =
+            Elect { group: g.name.clone(), line: p.line, server: p.name.clone(), from_line: from, from_index: index };
         let out = self.agree.propose(move |image| {
             if image.elect(&put.group).cloned() != before {
                 return Err(Kind::Conflict);
@@ -347,9 +342,8 @@
         let line = self.newest(g) + 1;
         self.log(Part::Elect, format!("new leader needed for {}", g.name));
         if self.tricks.no_hold {
-            let talks = self.talks.borrow();
-            let some = others.iter().find(|s| talks.get(*s).is_some_and(|t| t.open.is_none())).cloned();
-            drop(talks);
+            let alive = |s: &&String| self.talks.borrow().get(*s).is_some_and(|t| t.open.is_none());
+            let some = others.iter().find(alive).cloned();
             if let Some(s) = some {
                 self.call_name(g, &s).await;
                 self.await_leader(g, &s, line).await;
--- a/hub/src/duty/ledger.rs
+++ b/hub/src/duty/ledger.rs
@@ -121,7 +121,15 @@
     }
 
     /// Gives a node its share of a server, never more than what is not out elsewhere.
-    pub fn share(&mut self, server: &str, to: (&str, u64), cap: u64, now: Duration, until: Duration, soft: bool) -> u64 {
+    pub fn share(
+        &mut self,
+        server: &str,
+        to: (&str, u64),
+        cap: u64,
+        now: Duration,
+        until: Duration,
+        soft: bool,
+    ) -> u64 {
         let (node, nonce) = to;
         let grace = now < self.grace;
         let all = self.shares.entry(server.into()).or_default();
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -1,7 +1,7 @@
 //! What the leading hub does: knows servers and nodes as they tell, gives grants, elects leaders, sends news.
 
-mod lead;
 mod crown;
+mod lead;
 mod ledger;
 mod muster;
 mod probe;
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -124,12 +124,7 @@
 }
 
 /// Starts a hub that speaks to servers which confirm commits in the users' manner.
-pub async fn run_in(
-    env: &Env,
-    place: &Place,
-    tricks: Tricks,
-    manner: Option<Rc<dyn Manner>>,
-) -> Result<Hub, Fault> {
+pub async fn run_in(env: &Env, place: &Place, tricks: Tricks, manner: Option<Rc<dyn Manner>>) -> Result<Hub, Fault> {
     let who = Who {
         name: place.name.clone(),
         area: place.area.clone(),
--- a/kit/src/fleet/scale.rs
+++ b/kit/src/fleet/scale.rs
@@ -150,7 +150,8 @@
     let mut all: Vec<Group> = layout.groups().iter().map(|(n, s)| Group::plain(n, s, layout.cap as u64)).collect();
     let servers = |g: usize| (0..3).map(|i| format!("x{g}-{i}")).collect::<Vec<_>>();
     all.extend((0..groups).map(|g| Group::plain(&format!("x{g}"), &servers(g), 60)));
-    let mut doors: Vec<Doorway> = all.iter().map(|g| Doorway::plain(&format!("d-{}", g.name), &g.name, "bound")).collect();
+    let mut doors: Vec<Doorway> =
+        all.iter().map(|g| Doorway::plain(&format!("d-{}", g.name), &g.name, "bound")).collect();
     doors.push(Doorway::plain(&format!("mark{mark}"), "g1", "any"));
     Set { after: None, doorways: doors, groups: all, limits: None, number: None, note: String::new() }.serialize_json()
 }
--- a/kit/src/load/mod.rs
+++ b/kit/src/load/mod.rs
@@ -48,7 +48,9 @@
 pub fn doorways(groups: &[(String, Vec<String>)], cap: u64) -> String {
     use base::edge::operator::{Doorway, Group, Set};
     use nanoserde::SerJson;
-    let row = |(i, (name, promise, _)): (usize, &(&str, &str, u64))| Doorway::plain(name, &groups[i % groups.len()].0, promise);
+    let row = |(i, (name, promise, _)): (usize, &(&str, &str, u64))| {
+        Doorway::plain(name, &groups[i % groups.len()].0, promise)
+    };
     let set = Set {
         after: None,
         doorways: DOORS.iter().enumerate().map(row).collect(),
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -245,7 +245,8 @@
         };
         let known = self.heads.borrow().get(&group).and_then(|h| h.iter().rev().find(|x| x.0 <= asked).copied());
         if let (Some((_, head)), Some(s)) = (known, self.sights.borrow_mut().get_mut(server)) {
-            s.lag = if place.line < head.line { head.index.saturating_sub(place.index) } else { lag(head, place, from) };
+            s.lag =
+                if place.line < head.line { head.index.saturating_sub(place.index) } else { lag(head, place, from) };
         }
         if leads {
             let mut heads = self.heads.borrow_mut();
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -26,8 +26,8 @@
     door::{Guest, Show},
     gauge::Gauges,
     pool::Pool,
-    view::{Event, Journal},
     talk::Talks,
+    view::{Event, Journal},
     work::{Caller, Works},
 };
 
@@ -185,9 +185,7 @@
                 let x = self.gauges.sight(&name);
                 let age = match pool.speech {
                     // How long a question stands unanswered: silence tells nothing where nothing was asked.
-                    Some(_) => {
-                        x.silent(pool.trying()).map_or(0, |t| now.saturating_sub(t).as_millis() as u64)
-                    }
+                    Some(_) => x.silent(pool.trying()).map_or(0, |t| now.saturating_sub(t).as_millis() as u64),
                     None => x.at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64),
                 };
                 beat.sights.push(Sight {
--- a/spoke/src/talk/read.rs
+++ b/spoke/src/talk/read.rs
@@ -5,12 +5,7 @@
     talk::{Fail, Reply, Said, Told, Verdict},
     words::Position,
 };
-use futures::{
-    FutureExt, StreamExt,
-    future::LocalBoxFuture,
-    select_biased,
-    stream::FuturesUnordered,
-};
+use futures::{FutureExt, StreamExt, future::LocalBoxFuture, select_biased, stream::FuturesUnordered};
 
 use super::{
     seat::{Stock, told},
@@ -45,20 +40,13 @@
             (s.name.clone(), s.own)
         };
         let no = |kind: Kind| told(Err(Fail::no(kind)), None);
-        let gate = match self.decider.gate(&name) {
-            Ok(g) => g,
+        let (gate, key, due, until) = match self.entry(&name).await {
+            Ok(e) => e,
             Err(k) => return no(k),
         };
-        let (most, patience) = self.spans(&gate);
-        let start = self.env.now();
-        if let Err(k) = self.admitted(start + patience).await {
-            bump(&self.tally.refused);
-            return no(k);
-        }
-        let hedge = gate.aim.unwrap_or(most) / 2;
-        let key = self.gauges.key(&name, "");
+        let hedge = gate.aim.unwrap_or_else(|| self.spans(&gate).0) / 2;
         let guise = Guise::of(&stock.borrow(), &said);
-        let errand = Rc::new(Errand { gate, key, said, guise, due: start + most });
+        let errand = Rc::new(Errand { gate, key, said, guise, due });
         let mut tried: Vec<String> = Vec::new();
         let mut sends: FuturesUnordered<LocalBoxFuture<'static, Ended>> = FuturesUnordered::new();
         let mut last = Kind::NoServer;
@@ -77,7 +65,7 @@
                         if let Err(k) = other {
                             last = k;
                         }
-                        if now >= start + patience || tried.len() >= SENDS {
+                        if now >= until || tried.len() >= SENDS {
                             break;
                         }
                         tried.clear();
@@ -91,7 +79,7 @@
             futures::pin_mut!(late, over);
             select_biased! {
                 ended = sends.next() => {
-                    let Some((server, out)) = ended else { continue };
+                    let Some((_, out)) = ended else { continue };
                     match out {
                         Ok(reply) => {
                             self.let_end(sends);
@@ -106,7 +94,6 @@
                         Err(Miss::Failed(k)) => last = k,
                         Err(Miss::Unsure) => last = Kind::Failed,
                     }
-                    let _ = server;
                 }
                 _ = late => {
                     if tried.len() < 2
@@ -125,7 +112,7 @@
         }
         self.let_end(sends);
         bump(&self.tally.refused);
-        let ran = tried.len() > 0 && matches!(last, Kind::Failed | Kind::Due);
+        let ran = !tried.is_empty() && matches!(last, Kind::Failed | Kind::Due);
         told(Err(if ran { Fail::unsure(Kind::Failed) } else { Fail::no(last) }), None)
     }
 
--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -9,7 +9,12 @@
 use pick::Outcome;
 
 use super::seat::Stock;
-use crate::{decide::Gate, gauge::Key, pool::Slot, work::Works};
+use crate::{
+    decide::Gate,
+    gauge::Key,
+    pool::Slot,
+    work::{Works, bump},
+};
 
 /// What a connection has to wear for a statement.
 #[derive(Clone, Default)]
@@ -97,6 +102,19 @@
         (most, most / 2)
     }
 
+    /// The doorway of a statement outside a transaction, until when the statement may take and how long it may wait, once
+    /// this node may take new work.
+    pub async fn entry(&self, name: &str) -> Result<(Gate, Key, Duration, Duration), Kind> {
+        let gate = self.decider.gate(name)?;
+        let (most, patience) = self.spans(&gate);
+        let start = self.env.now();
+        if let Err(k) = self.admitted(start + patience).await {
+            bump(&self.tally.refused);
+            return Err(k);
+        }
+        Ok((gate, self.gauges.key(name, ""), start + most, start + patience))
+    }
+
     /// Waits until this node may take new work, up to a time.
     pub async fn admitted(&self, until: Duration) -> Result<(), Kind> {
         loop {
--- a/spoke/src/talk/trans.rs
+++ b/spoke/src/talk/trans.rs
@@ -92,12 +92,7 @@
         gate.aim.map_or(due, |a| due.min(self.env.now() + a * 2))
     }
 
-    fn within_end(
-        self: &Rc<Self>,
-        stock: &Rc<RefCell<Stock>>,
-        t: Trans,
-        out: Result<base::talk::Reply, Miss>,
-    ) -> Told {
+    fn within_end(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, t: Trans, out: Result<base::talk::Reply, Miss>) -> Told {
         match out {
             Ok(reply) => {
                 let Verdict::Done(mark) = reply.verdict else { return self.fail(stock, Fail::no(Kind::Lost)) };
--- a/spoke/src/talk/write.rs
+++ b/spoke/src/talk/write.rs
@@ -22,18 +22,10 @@
         bump(&self.tally.writes);
         let name = stock.borrow().name.clone();
         let no = |kind: Kind| told(Err(Fail::no(kind)), None);
-        let gate = match self.decider.gate(&name) {
-            Ok(g) => g,
+        let (gate, key, due, last) = match self.entry(&name).await {
+            Ok(e) => e,
             Err(k) => return no(k),
         };
-        let (most, patience) = self.spans(&gate);
-        let start = self.env.now();
-        if let Err(k) = self.admitted(start + patience).await {
-            bump(&self.tally.refused);
-            return no(k);
-        }
-        let due = start + most;
-        let key = self.gauges.key(&name, "");
         let guise = Guise::of(&stock.borrow(), said);
         loop {
             let kind = match self.lead_slot(&gate.group, due).await {
@@ -49,7 +41,7 @@
                     }
                     Err(Miss::Unrun(k)) => k,
                     Err(Miss::Failed(k)) => return told(Err(Fail::unsure(k)), None),
-                    Err(Miss::Unsure) if self.decider.tricks.resend && self.env.now() < due + most => {
+                    Err(Miss::Unsure) if self.decider.tricks.resend => {
                         return Box::pin(self.write_talk(stock, said)).await;
                     }
                     Err(Miss::Unsure) => {
@@ -58,7 +50,7 @@
                     }
                 },
             };
-            if self.env.now() >= start + patience {
+            if self.env.now() >= last {
                 bump(&self.tally.refused);
                 return no(kind);
             }
