Only the control nodes named at the start form the first image

Cause, found on re-reading: a deployment with a zone more has a fourth control node, which is in nobody's seeds. Each of the three counted four blank peers where two were to be, and nothing was ever formed: no configuration taken, nobody served.

Change: those named at the start form the first image with each other; any other there is comes to it as a newcomer.

Test: a_fourth_control_node_from_the_start_is_no_harm.

--- a/hub/src/agree/campaign.rs
+++ b/hub/src/agree/campaign.rs
@@ -1,6 +1,6 @@
 use wire::{Body, Home, Image, PulseReturn, VoteReturn};
 
-use super::{Agree, Role};
+use super::{Agree, Peer, Role};
 use crate::store::{Kept, Store};
 
 impl Agree {
@@ -211,16 +211,22 @@
     async fn form(&self, store: &mut Store) {
         let kept = {
             let s = self.state.borrow();
-            let blank = s.peers.values().filter(|p| p.blank && p.born != 0 && p.out.is_some()).count();
+            // Only those named at the start form the first image; any others there are come to it later.
+            let named = |p: &Peer| p.addr.parse().is_ok_and(|a| self.who.seeds.contains(&a));
+            let peers: Vec<_> = s.peers.iter().filter(|(_, p)| named(p)).collect();
+            if !self.who.seeds.contains(&self.who.peer) {
+                return;
+            }
+            let blank = peers.iter().filter(|(_, p)| p.blank && p.born != 0 && p.out.is_some()).count();
             let first = match s.kept.rescued {
                 true => true,
-                false => s.peers.iter().all(|(n, p)| self.who.name < *n && !p.rescued),
+                false => peers.iter().all(|(n, p)| self.who.name < **n && !p.rescued),
             };
             if blank != self.who.seeds.len() - 1 || !first {
                 return;
             }
-            let mut homes: Vec<_> =
-                s.peers.iter().map(|(n, p)| Home { name: n.clone(), born: p.born, peer: p.addr.clone() }).collect();
+            let home = |(n, p): &(&String, &Peer)| Home { name: (*n).clone(), born: p.born, peer: p.addr.clone() };
+            let mut homes: Vec<_> = peers.iter().map(home).collect();
             homes.push(Home { name: self.who.name.clone(), born: s.kept.born, peer: self.who.peer.to_string() });
             let limits = wire::Limits { statement_ms: 4000, idle_ms: 10000 };
             // From nothing, or from the one image that a person took from the last disk.
--- a/kit/src/sim/hall.rs
+++ b/kit/src/sim/hall.rs
@@ -13,13 +13,15 @@
     /// Machines of each area; the first has a disk.
     pub machines: usize,
     pub groups: usize,
+    /// Whether the control node that nobody names is there from the start.
+    pub fourth: bool,
     pub hub: hub::Tricks,
     pub spoke: spoke::Tricks,
 }
 
 impl Default for Build {
     fn default() -> Self {
-        Self { machines: 2, groups: 2, hub: Default::default(), spoke: Default::default() }
+        Self { machines: 2, groups: 2, fourth: false, hub: Default::default(), spoke: Default::default() }
     }
 }
 
@@ -111,7 +113,7 @@
         }
         let names: Vec<String> = me.procs.borrow().keys().cloned().collect();
         for n in &names {
-            if n == "hx" {
+            if n == "hx" && !build.fourth {
                 me.sim.kill(me.procs.borrow()[n].host, false);
             } else {
                 me.launch(n);
--- a/kit/tests/hall.rs
+++ b/kit/tests/hall.rs
@@ -107,6 +107,13 @@
     assert_eq!(hall.bank.named.get(), 0, "nobody was to be named\n{}", hall.drawn());
 }
 
+#[test]
+fn a_fourth_control_node_from_the_start_is_no_harm() {
+    let hall = play(5, HallBuild { fourth: true, ..HallBuild::default() }, "at h0\n3 dark\n6 start\n9 .");
+    assert!(hall.findings().is_empty(), "{:?}", hall.findings());
+    served_at_the_end(&hall, "at\n9 .");
+}
+
 #[test]
 fn a_server_that_left_is_off_the_roll() {
     let hall = clean(4, "at s00\n2 drain\n8 quit\n14 .");
