--- a/hub/src/agree/mod.rs
+++ b/hub/src/agree/mod.rs
@@ -64,6 +64,8 @@
     leaving: bool,
 }
 
+/// Lists the leader grants that may still stand.
+type GrantsOut = Box<dyn Fn() -> Vec<OutLead>>;
 type Done = oneshot::Sender<Result<Rc<Image>, Kind>>;
 type Make = Box<dyn FnOnce(&Image) -> Result<Image, Kind>>;
 
@@ -96,7 +98,7 @@
     /// Rung when leadership, commitment or confirmation moved.
     pub bell: Bell,
     /// Tells which leader grants of this hub may still stand.
-    pub estate: RefCell<Option<Box<dyn Fn() -> Vec<OutLead>>>>,
+    pub estate: RefCell<Option<GrantsOut>>,
     /// What the holder who named this hub its successor left: its term, when that was told, the grants.
     heir: RefCell<Option<(u64, Duration, Vec<OutLead>)>>,
     loose: Loose,
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -58,12 +58,11 @@
             jobs.retain(|g, _| groups.contains(g));
             self.standings.borrow_mut().retain(|g, _| groups.contains(g));
             for g in groups {
-                if !jobs.contains_key(&g) {
+                jobs.entry(g.clone()).or_insert_with(|| {
                     self.standings.borrow_mut().entry(g.clone()).or_default();
                     let me = self.clone();
-                    let name = g.clone();
-                    jobs.insert(g, self.env.spawn(async move { me.tend(name).await }));
-                }
+                    self.env.spawn(async move { me.tend(g).await })
+                });
             }
             self.env.sleep(self.bounds.pulse()).await;
         }
--- a/hub/src/duty/ledger.rs
+++ b/hub/src/duty/ledger.rs
@@ -86,10 +86,10 @@
             }
         }
         for (group, all) in &mut self.leads {
-            if let Some((nonce, _)) = all.get(&b.name) {
-                if b.leaving || (b.heard > *nonce && !b.leads.iter().any(|l| l.group == *group)) {
-                    all.remove(&b.name);
-                }
+            if let Some((nonce, _)) = all.get(&b.name)
+                && (b.leaving || (b.heard > *nonce && !b.leads.iter().any(|l| l.group == *group)))
+            {
+                all.remove(&b.name);
             }
         }
         if b.leaving {
--- a/hub/src/duty/probe.rs
+++ b/hub/src/duty/probe.rs
@@ -59,19 +59,18 @@
             jobs.retain(|s, (a, _)| addrs.get(s).is_some_and(|x| x.0 == *a));
             for (server, (addr, group)) in addrs {
                 let Ok(sock) = addr.parse() else { continue };
-                if !jobs.contains_key(&server) {
+                jobs.entry(server.clone()).or_insert_with(|| {
                     let me = self.clone();
-                    let name = server.clone();
                     let manner = self.manner.clone();
                     let job = self.env.spawn(async move {
                         match (group, manner) {
-                            (Some(group), Some(manner)) => me.talk(name, sock, group, manner).await,
+                            (Some(group), Some(manner)) => me.talk(server, sock, group, manner).await,
                             (Some(_), None) => {}
-                            _ => me.probe(name, sock).await,
+                            _ => me.probe(server, sock).await,
                         }
                     });
-                    jobs.insert(server, (addr, job));
-                }
+                    (addr, job)
+                });
             }
             self.env.sleep(self.bounds.pulse()).await;
         }
--- a/kit/src/sim/swarm.rs
+++ b/kit/src/sim/swarm.rs
@@ -49,7 +49,7 @@
 
 /// Runs one seed. One in eight of those that draw at will has a deployment's own size and load.
 pub fn swarm(seed: u64, tricks: Tricks, draw: Draw) -> Outcome {
-    let large = draw == Draw::Any && seed % 8 == 0;
+    let large = draw == Draw::Any && seed.is_multiple_of(8);
     let machines = if large { [9, 11][seed as usize / 8 % 2] } else { 6 };
     let (sessions, rate) = if large { (300, 450.0) } else { (90, 60.0) };
     let cap = if large { [80, 75][seed as usize / 8 % 2] } else { Build::default().cap };
