Consensus as a core without I/O: verdicts wait for a quorum, learners, joint changes

Cause: a verdict on an order (taken already, lost, refused) was given from an image that could lie on one disk alone, without asking the lease; a new control node counted for the quorum with an empty disk; one that ended did not hand its place over; an empty disk drew a new incarnation at each start, so a system whose former lost power right after forming could stay without a majority for good.

Now: hub/src/consensus/core.rs takes inputs one at a time and gives back what is to be synced and sent; service.rs obeys. A proposal that changes nothing, and every read, is told only once the image it saw is committed and a quorum confirmed the leader after the call. Control nodes join as learners and become members by a joint change once they have the newest image; a member that leaves or is lost gives its place to a learner; zones are kept from holding a majority. Only disks used at the very first start may form the first image.

--- a/base/src/settings.rs
+++ b/base/src/settings.rs
@@ -28,6 +28,8 @@
         pub most_inbox: u64 = 256,
         /// Whether a node serves callers on while its own area is emptied of servers.
         pub keep_on: bool = false,
+        /// Whether the whole system may be starting for the first time, with empty disks.
+        pub first_start: bool = true,
         /// How many control nodes may be lost at once; one more than twice as many agree.
         pub losses: u64 = 1,
     }
@@ -100,6 +102,7 @@
     pub most_body: usize,
     pub most_inbox: usize,
     pub keep_on: bool,
+    pub first_start: bool,
     pub losses: usize,
 }
 
@@ -183,6 +186,7 @@
             most_body: self.most_body as usize,
             most_inbox: self.most_inbox as usize,
             keep_on: self.keep_on,
+            first_start: self.first_start,
             losses: self.losses as usize,
         })
     }
--- /dev/null
+++ b/hub/src/consensus/links.rs
@@ -0,0 +1,106 @@
+//! Links to the other control nodes, over which this node's own requests go out.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use base::seam::Job;
+use wire::{Body, Hello, In, Out};
+
+use super::{Consensus, Input, PeerHello};
+
+/// After how many holds of silence a leader gives a link up.
+const SILENT_HOLDS: u32 = 4;
+
+impl Consensus {
+    /// Another control node dialled this one or told of itself; it is dialled from now on.
+    pub fn met(&self, address: &str) {
+        if let Ok(address) = address.parse() {
+            self.guests.borrow_mut().insert(address);
+        }
+    }
+
+    /// Keeps a link to every other control node: those in the settings, the members, those that came by.
+    pub async fn keep_links(self: Rc<Self>) -> Result<(), Infallible> {
+        let mut tasks: BTreeMap<SocketAddr, Job> = BTreeMap::new();
+        loop {
+            for address in self.addresses() {
+                tasks.entry(address).or_insert_with(|| {
+                    let me = self.clone();
+                    self.env.spawn(async move { me.keep_link(address).await })
+                });
+            }
+            self.env.sleep(self.bounds.pulse()).await;
+        }
+    }
+
+    fn addresses(&self) -> BTreeSet<SocketAddr> {
+        let mut all: BTreeSet<SocketAddr> = self.identity.seeds.iter().copied().collect();
+        all.extend(self.guests.borrow().iter());
+        if let Some(image) = &self.core.borrow().durable().image {
+            let members = image.members.iter().chain(&image.outgoing_members);
+            all.extend(members.filter_map(|m| m.address.parse::<SocketAddr>().ok()));
+        }
+        all.remove(&self.identity.address);
+        all
+    }
+
+    async fn keep_link(self: Rc<Self>, address: SocketAddr) {
+        loop {
+            if let Some((hello, input, out)) = self.dial(address).await.filter(|d| d.0.name != self.identity.name) {
+                self.use_link(hello, input, out).await;
+            }
+            self.env.sleep(self.bounds.pulse()).await;
+        }
+    }
+
+    async fn dial(&self, address: SocketAddr) -> Option<(Hello, In, Out)> {
+        let span = self.bounds.call();
+        let stream = self.env.connect(address, span).await.ok()?;
+        let (mut input, out) = wire::open(&self.env, stream);
+        let mut hello = Hello {
+            name: self.identity.name.clone(),
+            area: self.identity.zone.clone(),
+            hub: true,
+            peer: self.identity.address.to_string(),
+            boot: self.boot,
+            rule: self.bounds.sum(),
+            ..Hello::default()
+        };
+        self.hello(&mut hello);
+        out.send(Body::Hello(hello));
+        match self.env.within(span, input.next()).await {
+            Ok(Ok(Body::Hello(h))) if h.hub && self.agrees(&h.name, h.rule) => Some((h, input, out)),
+            _ => None,
+        }
+    }
+
+    async fn use_link(&self, hello: Hello, mut input: In, out: Out) {
+        let name = hello.name.clone();
+        self.links.borrow_mut().insert(name.clone(), out);
+        let hello = PeerHello {
+            name: hello.name,
+            zone: hello.area,
+            address: hello.peer,
+            incarnation: hello.incarnation,
+            empty: hello.empty,
+            rescued: hello.rescued,
+            may_form: hello.may_form,
+        };
+        self.queue(Input::Connected(hello), None);
+        loop {
+            match self.env.within(self.bounds.hold() * SILENT_HOLDS, input.next()).await {
+                Ok(Ok(body)) => self.frame(&name, body, None),
+                Ok(Err(_)) => break,
+                // A silent link only matters to one who wants answers over it.
+                Err(_) if !self.core.borrow().awaits_answers() => {}
+                Err(_) => break,
+            }
+        }
+        self.links.borrow_mut().remove(&name);
+        self.queue(Input::Disconnected(name), None);
+    }
+}
--- a/hub/src/door.rs
+++ b/hub/src/door.rs
@@ -11,12 +11,12 @@
 };
 use wire::relay::Relay;
 
-use crate::agree::Agree;
+use crate::consensus::Consensus;
 
 /// One operator's or server's connection.
 pub struct Desk {
     pub relay: Rc<Relay>,
-    pub agree: Rc<Agree>,
+    pub agree: Rc<Consensus>,
 }
 
 impl Session for Desk {
@@ -33,13 +33,13 @@
     }
 }
 
-fn metrics(relay: &Relay, agree: &Agree) -> Return {
-    let (blank, _) = agree.blank();
+fn metrics(relay: &Relay, agree: &Consensus) -> Return {
+    let empty = agree.empty();
     let sequence = agree.image().map_or(0, |i| i.sequence);
     metrics::page(&[
         ("hub_leads", "gauge", "1 while this hub leads for sure", u64::from(agree.leads())),
         ("hub_term", "gauge", "the newest term this hub knows", agree.term().0),
-        ("hub_blank", "gauge", "1 while its disk's memory does not count", u64::from(blank)),
+        ("hub_blank", "gauge", "1 while its disk's memory does not count", u64::from(empty)),
         ("hub_sequence", "gauge", "the newest doorway set's sequence, while leading", sequence),
         ("hub_children", "gauge", "nodes whose parent it is", relay.children().len() as u64),
         ("corrupt_frames_total", "counter", "links closed on a corrupt frame", relay.corrupt.get()),
@@ -47,9 +47,9 @@
     ])
 }
 
-fn status(relay: &Relay, agree: &Agree) -> Return {
+fn status(relay: &Relay, agree: &Consensus) -> Return {
     let (parent, depth) = relay.place();
-    let (blank, _) = agree.blank();
+    let empty = agree.empty();
     let text = format!(
         "{{\"name\":\"{}\",\"area\":\"{}\",\"hub\":true,\"leads\":{},\"leader\":\"{}\",\"term\":{},\"blank\":{},\"fed\":{},\"parent\":\"{}\",\"depth\":{},\"children\":{},\"corrupt\":{}}}",
         relay.who.name,
@@ -57,7 +57,7 @@
         agree.leads(),
         agree.leader(),
         agree.term().0,
-        blank,
+        empty,
         relay.fed(),
         parent,
         depth,
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -26,7 +26,7 @@
 };
 use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
 
-use crate::{agree::Agree, run::Tricks};
+use crate::{consensus::Consensus, run::Tricks};
 
 pub use lead::Standing;
 use ledger::Ledger;
@@ -40,7 +40,7 @@
 /// The leading hub's desk; empty on the others.
 pub struct Duty {
     pub(crate) env: Env,
-    pub(crate) agree: Rc<Agree>,
+    pub(crate) agree: Rc<Consensus>,
     pub(crate) relay: Rc<Relay>,
     pub(crate) bounds: Bounds,
     pub(crate) platform: Cell<Option<SocketAddr>>,
@@ -71,7 +71,7 @@
     /// A desk that nothing has been told yet.
     pub fn new(
         env: &Env,
-        agree: Rc<Agree>,
+        agree: Rc<Consensus>,
         relay: Rc<Relay>,
         bounds: Bounds,
         platform: Option<SocketAddr>,
@@ -102,10 +102,10 @@
             tricks,
         });
         let weak = Rc::downgrade(&me);
-        *me.agree.estate.borrow_mut() = Some(Box::new(move || {
+        me.agree.report_leases(move || {
             let me = weak.upgrade();
             me.map(|m| m.ledger.borrow().left(m.env.now())).unwrap_or_default()
-        }));
+        });
         me
     }
 
@@ -137,8 +137,8 @@
         self.term.set(term);
         self.count.set(0);
         let lapse = self.env.now() + self.bounds.lapse();
-        *self.ledger.borrow_mut() = match self.agree.heir() {
-            Some((at, left)) => Ledger::heir(lapse, at, &left),
+        *self.ledger.borrow_mut() = match self.agree.inherited_leases() {
+            Some(i) => Ledger::heir(lapse, i.at, &i.leases),
             None => Ledger::new(lapse),
         };
         self.standings.borrow_mut().clear();
@@ -269,6 +269,9 @@
             }
         }
         self.ledger.borrow_mut().told(&beat, now);
+        if beat.hub {
+            self.agree.met(&beat.peer);
+        }
         if beat.hub || beat.leaving {
             return Some(self.ret(&beat, Vec::new(), Vec::new()));
         }
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -1,6 +1,6 @@
 //! The control plane: agreement on the operator's word, elections of leaders, grants, news.
 
-mod agree;
+pub mod consensus;
 mod door;
 mod duty;
 mod ground;
--- a/hub/src/ops.rs
+++ b/hub/src/ops.rs
@@ -108,7 +108,9 @@
                 self.publish();
                 Ok(sequence(&image))
             }
-            Err(kind) => Err(slot.borrow_mut().take().unwrap_or_else(|| refuse(kind, "", None))),
+            // Only a verdict that was confirmed is told; of anything else nothing is known.
+            Err(Kind::Invalid) => Err(slot.borrow_mut().take().unwrap_or_else(|| refuse(Kind::Invalid, "", None))),
+            Err(kind) => Err(refuse(kind, "", None)),
         }
     }
 
--- a/hub/src/rescue.rs
+++ b/hub/src/rescue.rs
@@ -6,23 +6,23 @@
 
 /// Tells what the disk holds; with the word it told, marks the image as one to form anew from.
 pub async fn rescue(env: &Env, word: &str) -> Result<String, String> {
-    let (mut store, mut kept, found) = Store::open(env, 1 << 20).await.map_err(|e| e.to_string())?;
-    let Some(image) = kept.image.clone().filter(|_| found == Found::Whole) else {
+    let (mut store, mut state, found) = Store::open(env, 1 << 20).await.map_err(|e| e.to_string())?;
+    let Some(image) = state.image.clone().filter(|_| found == Found::Whole) else {
         return Err("this disk holds no image; look at the other control nodes' disks".into());
     };
-    if kept.rescued {
+    if state.rescued {
         return Err(
             "this image was taken already; start all three control nodes, the other two on empty folders".into()
         );
     }
-    let take = format!("take-{}-{}-{}", image.sequence, kept.at_term, kept.at_count);
+    let take = format!("take-{}-{}-{}", image.sequence, state.version_term, state.version_index);
     let elects: Vec<String> =
         image.elects.iter().map(|e| format!("{} led by {} on line {}", e.group, e.server, e.line)).collect();
     let held = format!(
         "This disk holds sequence {} (term {}, count {}): {} doorways, {} groups, {}.",
         image.sequence,
-        kept.at_term,
-        kept.at_count,
+        state.version_term,
+        state.version_index,
         image.doorways.len(),
         image.groups.len(),
         elects.join(", ")
@@ -37,7 +37,9 @@
         );
         return if word == "look" { Ok(text) } else { Err(format!("{word:?} is not this disk's word.\n{text}")) };
     }
-    kept.rescued = true;
-    store.save(&kept).await.map_err(|e| e.to_string())?;
+    state.rescued = true;
+    // The other disks, if they turn up after all, are not to count this one for the one they knew.
+    state.incarnation = env.rand() | 1;
+    store.save(&state).await.map_err(|e| e.to_string())?;
     Ok(format!("{held}\nTaken. Start all three control nodes, the other two on empty folders; they form anew from it."))
 }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    agree::{Agree, Loose},
+    consensus::{Consensus, Guards, Identity},
     door::Desk,
     duty::Duty,
     store::{Fault, Found, Store},
@@ -46,6 +46,12 @@
     pub no_roll: bool,
     /// Name a leader without keeping the others from receiving.
     pub no_hold: bool,
+    /// Tell verdicts on orders before what they rest on is committed and confirmed.
+    pub early_verdict: bool,
+    /// Change the members of the consensus in one step.
+    pub no_joint: bool,
+    /// Form the first image at any start.
+    pub form_again: bool,
     /// Give a cold server's whole cap at once.
     pub no_ramp: bool,
 }
@@ -55,7 +61,7 @@
 
 /// A running hub.
 pub struct Hub {
-    pub agree: Rc<Agree>,
+    pub agree: Rc<Consensus>,
     pub duty: Rc<Duty>,
     pub relay: Rc<Relay>,
     pub door: Door,
@@ -64,7 +70,7 @@
 }
 
 struct Root {
-    agree: Rc<Agree>,
+    agree: Rc<Consensus>,
     duty: std::cell::RefCell<Option<Rc<Duty>>>,
     env: Env,
 }
@@ -134,19 +140,40 @@
         seeds: place.seeds.clone(),
         boot: env.rand(),
     };
-    let (store, mut kept, found) = Store::open(env, LOG).await?;
+    let (mut store, mut state, found) = Store::open(env, LOG).await?;
     if tricks.no_recall {
-        kept = Default::default();
+        state = Default::default();
     }
     match found {
         Found::Fresh => env.log(Part::Disk, "the data folder is empty"),
-        Found::Torn => env.log(Part::Disk, "no slot can be read; starting blank, and not voting until admitted"),
+        Found::Torn => env.log(Part::Disk, "no slot can be read; starting with an empty disk of a new incarnation"),
         Found::Whole => {}
     }
+    if state.incarnation == 0 {
+        // Written before anything else, so that whoever counts this disk knows it again after a restart.
+        state.incarnation = env.rand() | 1;
+        state.may_form = place.first_start && found == Found::Fresh;
+        store.keep(&state).await;
+    }
     let peer = env.listen(place.peer).await?;
     let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(place.http).await?)));
-    let loose = Loose { blank_votes: tricks.blank_votes, no_lease: tricks.no_lease, any_rule: tricks.any_rule };
-    let (agree, inbox) = Agree::new(env, who.clone(), place.bounds.clone(), place.losses * 2 + 1, kept, loose);
+    let guards = Guards {
+        any_incarnation: tricks.blank_votes,
+        no_lease: tricks.no_lease,
+        any_bounds: tricks.any_rule,
+        early_verdict: tricks.early_verdict,
+        no_joint: tricks.no_joint,
+        form_again: tricks.form_again,
+        ..Guards::default()
+    };
+    let identity = Identity {
+        name: place.name.clone(),
+        zone: place.area.clone(),
+        address: place.peer,
+        seeds: place.seeds.clone(),
+    };
+    let target = place.losses * 2 + 1;
+    let (agree, jobs) = Consensus::new(env, identity, who.boot, place.bounds.clone(), target, state, guards);
     let relay = Relay::new(env, who.clone(), place.bounds.clone());
     let root = Rc::new(Root { agree: agree.clone(), duty: Default::default(), env: env.clone() });
     let duty = Duty::new(env, agree.clone(), relay.clone(), place.bounds.clone(), place.platform, manner, tricks);
@@ -154,10 +181,10 @@
     relay.lead(root);
     let door = Door::new(place.most_sessions, place.most_body);
 
-    let desk = [env.spawn(agree.clone().desk(inbox, store)), env.spawn(agree.clone().ticks())];
+    let desk = [env.spawn(agree.clone().run(jobs, store)), env.spawn(agree.clone().ticks())];
     let mut tree = Tree::new(env);
     let a = agree.clone();
-    tree.child("peers", move || a.clone().peers());
+    tree.child("peers", move || a.clone().keep_links());
     relay.tend(&mut tree, peer);
     let d = duty.clone();
     tree.child("duty", move || d.clone().run());
--- a/hub/src/store/mod.rs
+++ b/hub/src/store/mod.rs
@@ -1,4 +1,4 @@
-//! What a hub remembers on its disk: two slots written in turn, a short log between.
+//! What a control node keeps on its disk: two slots written in turn, a short log between.
 
 mod record;
 
@@ -12,26 +12,51 @@
 const SLOTS: [&str; 2] = ["slot-a", "slot-b"];
 const LOG: &str = "log";
 
-/// All that a hub's vote and memory rest on.
+/// Where an image stands among all that were ever written: by the leader's term, then by its count within it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Version {
+    pub term: u64,
+    pub index: u64,
+}
+
+/// All that a control node's votes and acknowledgements rest on.
 #[derive(Clone, PartialEq, Message)]
-pub struct Kept {
+pub struct DurableState {
+    /// The newest term this node has voted in or followed a leader of.
     #[prost(uint64, tag = "1")]
     pub term: u64,
-    /// Whom this hub voted for in the term.
+    /// Whom this node voted for in the term; empty for nobody.
     #[prost(string, tag = "2")]
-    pub vote: String,
+    pub voted_for: String,
+    /// The term in which the image was written.
     #[prost(uint64, tag = "3")]
-    pub at_term: u64,
+    pub version_term: u64,
+    /// Counts the images written, over all terms.
     #[prost(uint64, tag = "4")]
-    pub at_count: u64,
+    pub version_index: u64,
     #[prost(message, optional, tag = "5")]
     pub image: Option<Image>,
-    /// The incarnation of this disk.
+    /// A random number of this disk, drawn when it was empty.
     #[prost(uint64, tag = "6")]
-    pub born: u64,
-    /// A person took this image knowingly, as the other two disks are lost: it may form anew from it.
+    pub incarnation: u64,
+    /// An operator took this image knowingly, as the other disks are lost: the system may form anew from it.
     #[prost(bool, tag = "7")]
     pub rescued: bool,
+    /// The disk was first used at the first start of the whole system, so this node may form the first image.
+    #[prost(bool, tag = "8")]
+    pub may_form: bool,
+}
+
+impl DurableState {
+    /// Where the image stands.
+    pub fn version(&self) -> Version {
+        Version { term: self.version_term, index: self.version_index }
+    }
+
+    /// Whether there is no image that counts.
+    pub fn empty(&self) -> bool {
+        self.image.is_none() || self.rescued
+    }
 }
 
 /// How a disk was found.
@@ -46,7 +71,7 @@
 
 struct Log {
     turn: u64,
-    kept: Kept,
+    state: DurableState,
     size: u64,
     steps: u64,
     broken: bool,
@@ -75,15 +100,15 @@
 
 impl Store {
     /// Opens the folder and reads what it remembers.
-    pub async fn open(env: &Env, most: u64) -> Result<(Self, Kept, Found), Fault> {
+    pub async fn open(env: &Env, most: u64) -> Result<(Self, DurableState, Found), Fault> {
         let disk = env.disk().ok_or(Fault::None)?;
-        let mut best: Option<(u64, Kept)> = None;
+        let mut best: Option<(u64, DurableState)> = None;
         let mut any = false;
         for file in SLOTS {
             let Some(data) = disk.read(file).await? else { continue };
             any |= !data.is_empty();
             match decode(&data) {
-                Ok(Some((turn, kept, _))) if best.as_ref().is_none_or(|b| turn > b.0) => best = Some((turn, kept)),
+                Ok(Some((turn, state, _))) if best.as_ref().is_none_or(|b| turn > b.0) => best = Some((turn, state)),
                 Ok(_) => {}
                 Err(found) => return Err(Fault::Newer { file, found }),
             }
@@ -91,43 +116,43 @@
         let log = disk.read(LOG).await?;
         any |= log.as_ref().is_some_and(|l| !l.is_empty());
         let mut me = Self { env: env.clone(), disk, turn: 0, log_at: 0, most, stale: false };
-        let Some((turn, kept)) = best else {
+        let Some((turn, state)) = best else {
             me.stale = true;
-            return Ok((me, Kept::default(), if any { Found::Torn } else { Found::Fresh }));
+            return Ok((me, DurableState::default(), if any { Found::Torn } else { Found::Fresh }));
         };
         let log = me.replay(log.as_deref().unwrap_or_default())?;
-        let (kept, steps) = match log {
+        let (state, steps) = match log {
             // The newest slot may have rotted; the log that goes with it opens with the same content.
             Some(l) if l.turn >= turn => {
                 if l.broken {
                     me.stale = true;
                     me.turn = l.turn;
-                    return Ok((me, Kept::default(), Found::Torn));
+                    return Ok((me, DurableState::default(), Found::Torn));
                 }
                 me.turn = l.turn;
                 me.log_at = l.size;
-                (l.kept, l.steps)
+                (l.state, l.steps)
             }
             _ => {
                 me.turn = turn;
-                (kept, 0)
+                (state, 0)
             }
         };
         env.log(Part::Disk, format!("slot turn {} and {steps} log records read", me.turn));
-        Ok((me, kept, Found::Whole))
+        Ok((me, state, Found::Whole))
     }
 
     fn replay(&self, log: &[u8]) -> Result<Option<Log>, Fault> {
         let newer = |found| Fault::Newer { file: LOG, found };
         let mut out: Option<Log> = None;
         let mut at = 0;
-        while let Some((turn, kept, size)) = decode(&log[at..]).map_err(newer)? {
+        while let Some((turn, state, size)) = decode(&log[at..]).map_err(newer)? {
             if out.as_ref().is_some_and(|o| o.turn != turn) {
                 return Ok(out);
             }
             at += size;
             let steps = out.map_or(1, |o| o.steps + 1);
-            out = Some(Log { turn, kept, size: at as u64, steps, broken: false });
+            out = Some(Log { turn, state, size: at as u64, steps, broken: false });
         }
         // Only the last record can have been cut off by a crash; a good one behind a bad one means rot.
         if let Some(o) = &mut out {
@@ -142,8 +167,8 @@
     }
 
     /// Syncs what is to be remembered; only then may it be acted on.
-    pub async fn save(&mut self, kept: &Kept) -> io::Result<()> {
-        let full = self.log_at + (kept.encoded_len() + HEAD) as u64 > self.most;
+    pub async fn save(&mut self, state: &DurableState) -> io::Result<()> {
+        let full = self.log_at + (state.encoded_len() + HEAD) as u64 > self.most;
         let full = full || self.stale || self.turn == 0;
         if full {
             let turn = self.turn + 1;
@@ -151,13 +176,13 @@
                 // Turns begin anew on a disk that can't be read; no record of an older life may be taken for a newer.
                 self.disk.write(LOG, Vec::new()).await?;
             }
-            self.disk.write(SLOTS[turn as usize % 2], encode(turn, kept)).await?;
+            self.disk.write(SLOTS[turn as usize % 2], encode(turn, state)).await?;
             self.turn = turn;
             self.stale = false;
             // The log opens with the slot's content, so that a slot lost later is noticed and made good.
             self.log_at = 0;
         }
-        let record = encode(self.turn, kept);
+        let record = encode(self.turn, state);
         let size = record.len() as u64;
         match self.disk.append(LOG, self.log_at, record).await {
             Ok(()) => self.log_at += size,
@@ -170,8 +195,8 @@
 
     /// Syncs; false when the disk has no room, and then what it held before still stands. Any other failed sync ends the
     /// process, since it leaves nothing to stand on.
-    pub async fn keep(&mut self, kept: &Kept) -> bool {
-        match self.save(kept).await {
+    pub async fn keep(&mut self, state: &DurableState) -> bool {
+        match self.save(state).await {
             Ok(()) => true,
             Err(e) if e.kind() == io::ErrorKind::StorageFull => {
                 self.env.log(Part::Disk, "the disk is full; nothing new is taken");
--- a/hub/src/store/record.rs
+++ b/hub/src/store/record.rs
@@ -1,6 +1,6 @@
 use wire::Message;
 
-use super::Kept;
+use super::DurableState;
 
 /// The disk format this program writes.
 pub const FORMAT: u32 = 1;
@@ -9,8 +9,8 @@
 pub const HEAD: usize = 28;
 
 /// Writes one record: mark, format, turn, size, checksum, data.
-pub fn encode(turn: u64, kept: &Kept) -> Vec<u8> {
-    let data = kept.encode_to_vec();
+pub fn encode(turn: u64, state: &DurableState) -> Vec<u8> {
+    let data = state.encode_to_vec();
     let mut out = Vec::with_capacity(HEAD + data.len());
     out.extend_from_slice(&MARK);
     out.extend_from_slice(&FORMAT.to_le_bytes());
@@ -29,7 +29,7 @@
 }
 
 /// Reads the record at the front: its turn, content and size. `None` when it is not whole; the format when it is newer.
-pub fn decode(buf: &[u8]) -> Result<Option<(u64, Kept, usize)>, u32> {
+pub fn decode(buf: &[u8]) -> Result<Option<(u64, DurableState, usize)>, u32> {
     if buf.len() < HEAD || buf[..4] != MARK {
         return Ok(None);
     }
@@ -46,8 +46,8 @@
     if format > FORMAT {
         return Err(format);
     }
-    match Kept::decode(&buf[HEAD..HEAD + size]) {
-        Ok(kept) => Ok(Some((word(buf, 8), kept, HEAD + size))),
+    match DurableState::decode(&buf[HEAD..HEAD + size]) {
+        Ok(state) => Ok(Some((word(buf, 8), state, HEAD + size))),
         Err(_) => Ok(None),
     }
 }
--- a/hub/tests/store.rs
+++ b/hub/tests/store.rs
@@ -5,7 +5,7 @@
 use base::seam::{Disk, Env, Listener, Local, Part, Stream, World};
 use bolero::check;
 use futures::executor::block_on;
-use hub::store::{FORMAT, Fault, Found, Kept, Store, decode, encode};
+use hub::store::{DurableState, FORMAT, Fault, Found, Store, decode, encode};
 
 #[derive(Clone, Default)]
 struct Mem(Rc<RefCell<BTreeMap<String, Vec<u8>>>>, Rc<std::cell::Cell<bool>>);
@@ -67,12 +67,12 @@
     }
 }
 
-fn open(disk: &Mem, most: u64) -> Result<(Store, Kept, Found), Fault> {
+fn open(disk: &Mem, most: u64) -> Result<(Store, DurableState, Found), Fault> {
     block_on(Store::open(&Env::new(Rc::new(Room(disk.clone()))), most))
 }
 
-fn kept(term: u64) -> Kept {
-    Kept { term, vote: format!("h{term}"), image: Some(Default::default()), ..Kept::default() }
+fn state(term: u64) -> DurableState {
+    DurableState { term, voted_for: format!("h{term}"), image: Some(Default::default()), ..DurableState::default() }
 }
 
 fn written(count: u64, most: u64) -> Mem {
@@ -80,7 +80,7 @@
     let (mut store, _, found) = open(&disk, most).unwrap();
     assert_eq!(found, Found::Fresh);
     for t in 1..=count {
-        block_on(store.save(&kept(t))).unwrap();
+        block_on(store.save(&state(t))).unwrap();
     }
     disk
 }
@@ -89,7 +89,7 @@
 fn the_newest_save_is_read_back_over_many_turns() {
     for count in 1..40 {
         let (_, got, found) = open(&written(count, 300), 300).unwrap();
-        assert_eq!((got, found), (kept(count), Found::Whole));
+        assert_eq!((got, found), (state(count), Found::Whole));
     }
 }
 
@@ -105,8 +105,8 @@
         let (mut store, got, found) = open(&disk, 1 << 20).unwrap();
         assert_eq!(found, Found::Whole);
         assert_eq!(got.term, ((cut / size) as u64).max(1), "cut at {cut}");
-        block_on(store.save(&kept(9))).unwrap();
-        assert_eq!(open(&disk, 1 << 20).unwrap().1, kept(9));
+        block_on(store.save(&state(9))).unwrap();
+        assert_eq!(open(&disk, 1 << 20).unwrap().1, state(9));
     }
 }
 
@@ -116,7 +116,7 @@
     let size = disk.0.borrow()["log"].len() / 5;
     disk.0.borrow_mut().get_mut("log").unwrap()[size + 40] ^= 1;
     let (_, got, found) = open(&disk, 1 << 20).unwrap();
-    assert_eq!((found, got), (Found::Torn, Kept::default()));
+    assert_eq!((found, got), (Found::Torn, DurableState::default()));
 }
 
 #[test]
@@ -126,14 +126,14 @@
     let newest = names.iter().max_by_key(|n| decode(&disk.0.borrow()[*n]).unwrap().unwrap().0).unwrap().clone();
     disk.0.borrow_mut().get_mut(&newest).unwrap()[30] ^= 1;
     let (_, got, found) = open(&disk, 300).unwrap();
-    assert_eq!((got, found), (kept(12), Found::Whole));
+    assert_eq!((got, found), (state(12), Found::Whole));
     for n in names {
         disk.0.borrow_mut().insert(n, vec![1; 50]);
     }
     let (mut store, got, found) = open(&disk, 300).unwrap();
-    assert_eq!((found, got), (Found::Torn, Kept::default()));
-    block_on(store.save(&kept(20))).unwrap();
-    assert_eq!(open(&disk, 300).unwrap().1, kept(20));
+    assert_eq!((found, got), (Found::Torn, DurableState::default()));
+    block_on(store.save(&state(20))).unwrap();
+    assert_eq!(open(&disk, 300).unwrap().1, state(20));
 }
 
 /// No room: what was held stands, and saving goes on once there is room again.
@@ -143,18 +143,18 @@
     let (mut store, _, _) = open(&disk, 300).unwrap();
     disk.1.set(true);
     for t in 6..20 {
-        assert!(!block_on(store.keep(&kept(t))));
+        assert!(!block_on(store.keep(&state(t))));
     }
-    assert_eq!(open(&disk, 300).unwrap().1, kept(5));
+    assert_eq!(open(&disk, 300).unwrap().1, state(5));
     disk.1.set(false);
-    assert!(block_on(store.keep(&kept(20))));
-    assert_eq!(open(&disk, 300).unwrap().1, kept(20));
+    assert!(block_on(store.keep(&state(20))));
+    assert_eq!(open(&disk, 300).unwrap().1, state(20));
 }
 
 #[test]
 fn a_newer_format_is_refused() {
     let disk = Mem::default();
-    let mut data = encode(1, &kept(1));
+    let mut data = encode(1, &state(1));
     data[4..8].copy_from_slice(&(FORMAT + 1).to_le_bytes());
     let mut sum = crc32fast::Hasher::new();
     sum.update(&data[..24]);
@@ -171,7 +171,7 @@
         for (n, d) in [("slot-a", a), ("slot-b", b), ("log", log)] {
             disk.0.borrow_mut().insert(n.into(), d.clone());
         }
-        let (_, kept, found) = open(&disk, 300).unwrap();
-        assert!(found != Found::Whole && kept == Kept::default());
+        let (_, state, found) = open(&disk, 300).unwrap();
+        assert!(found != Found::Whole && state == DurableState::default());
     });
 }
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -17,9 +17,9 @@
     pub emptied: Vec<String>,
     #[prost(message, repeated, tag = "6")]
     pub elects: Vec<Elect>,
-    /// The control nodes whose memory counts.
+    /// The control nodes that vote: a quorum is a majority of them.
     #[prost(message, repeated, tag = "7")]
-    pub homes: Vec<Home>,
+    pub members: Vec<Member>,
     /// The servers' logs that quorums are made of.
     #[prost(message, repeated, tag = "8")]
     pub logs: Vec<Log>,
@@ -35,6 +35,9 @@
     /// Where the servers that made themselves known stood, so that they are found before they tell it again.
     #[prost(message, repeated, tag = "12")]
     pub spots: Vec<Spot>,
+    /// While the membership changes: the members before, of which a quorum needs a majority too.
+    #[prost(message, repeated, tag = "20")]
+    pub outgoing_members: Vec<Member>,
 }
 
 /// Where a server stood when it was written into its group.
@@ -140,16 +143,20 @@
     pub turn: u64,
 }
 
-/// A control node and the incarnation of its disk.
-#[derive(Clone, PartialEq, Message)]
-pub struct Home {
+/// A control node that votes. A disk that was lost comes back under another incarnation and is another member.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Member {
     #[prost(string, tag = "1")]
     pub name: String,
+    /// The incarnation of its disk.
     #[prost(uint64, tag = "2")]
-    pub born: u64,
+    pub incarnation: u64,
     /// Where it is dialled; empty from builds that did not tell.
     #[prost(string, tag = "3")]
-    pub peer: String,
+    pub address: String,
+    /// The zone that it stands in; empty from builds that did not tell.
+    #[prost(string, tag = "4")]
+    pub zone: String,
 }
 
 impl Elect {
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -1,6 +1,6 @@
 use prost::{Message, Oneof};
 
-use crate::Image;
+use crate::{Heartbeat, HeartbeatAck, Image, VoteRequest, VoteResponse};
 
 /// One frame of a link.
 #[derive(Clone, PartialEq, Message)]
@@ -24,13 +24,13 @@
     #[prost(message, tag = "6")]
     AskReturn(AskReturn),
     #[prost(message, tag = "7")]
-    Vote(Vote),
+    VoteRequest(VoteRequest),
     #[prost(message, tag = "8")]
-    VoteReturn(VoteReturn),
+    VoteResponse(VoteResponse),
     #[prost(message, tag = "9")]
-    Pulse(Pulse),
+    Heartbeat(Heartbeat),
     #[prost(message, tag = "10")]
-    PulseReturn(PulseReturn),
+    HeartbeatAck(HeartbeatAck),
     #[prost(message, tag = "11")]
     Root(Root),
 }
@@ -51,16 +51,19 @@
     pub boot: u64,
     /// On control nodes: the incarnation of the disk.
     #[prost(uint64, tag = "6")]
-    pub born: u64,
-    /// On control nodes: the disk remembers nothing.
+    pub incarnation: u64,
+    /// On control nodes: the disk holds no image that counts.
     #[prost(bool, tag = "7")]
-    pub blank: bool,
+    pub empty: bool,
     /// The bounds it counts by, as one number; 0 from builds that do not tell.
     #[prost(uint64, tag = "8")]
     pub rule: u64,
     /// On control nodes: blank but for an image that a person took knowingly from the last disk.
     #[prost(bool, tag = "9")]
     pub rescued: bool,
+    /// On control nodes: the disk was first used at the first start of the whole system.
+    #[prost(bool, tag = "10")]
+    pub may_form: bool,
 }
 
 /// What a node says up the tree to the leading hub.
@@ -298,69 +301,6 @@
     pub wave: u64,
 }
 
-/// A hub asks to lead.
-#[derive(Clone, PartialEq, Message)]
-pub struct Vote {
-    #[prost(uint64, tag = "1")]
-    pub term: u64,
-    #[prost(uint64, tag = "2")]
-    pub at_term: u64,
-    #[prost(uint64, tag = "3")]
-    pub at_count: u64,
-    #[prost(uint64, tag = "4")]
-    pub born: u64,
-    /// The holder named the asker its successor, so holds do not bind.
-    #[prost(bool, tag = "5")]
-    pub named: bool,
-    /// Only asking whether it would be granted.
-    #[prost(bool, tag = "6")]
-    pub trial: bool,
-    #[prost(uint64, tag = "7")]
-    pub nonce: u64,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub struct VoteReturn {
-    #[prost(uint64, tag = "1")]
-    pub term: u64,
-    #[prost(bool, tag = "2")]
-    pub granted: bool,
-    #[prost(uint64, tag = "3")]
-    pub born: u64,
-    #[prost(bool, tag = "4")]
-    pub blank: bool,
-    #[prost(uint64, tag = "5")]
-    pub nonce: u64,
-}
-
-/// The leading hub's pulse, with the image where the other lacks it.
-#[derive(Clone, PartialEq, Message)]
-pub struct Pulse {
-    #[prost(uint64, tag = "1")]
-    pub term: u64,
-    #[prost(uint64, tag = "2")]
-    pub nonce: u64,
-    /// The newest image's term and count.
-    #[prost(uint64, tag = "3")]
-    pub at_term: u64,
-    #[prost(uint64, tag = "4")]
-    pub at_count: u64,
-    #[prost(message, optional, tag = "5")]
-    pub image: Option<Image>,
-    /// The newest count known to lie on a majority of disks.
-    #[prost(uint64, tag = "6")]
-    pub kept: u64,
-    /// Names the hearer as successor.
-    #[prost(bool, tag = "7")]
-    pub named: bool,
-    /// The hearer's disk as the image knows it; zero when it is not known.
-    #[prost(uint64, tag = "8")]
-    pub born: u64,
-    /// With `named`: the leader grants that the namer gave and that may still stand.
-    #[prost(message, repeated, tag = "9")]
-    pub out: Vec<OutLead>,
-}
-
 /// A leader grant that may still stand.
 #[derive(Clone, PartialEq, Message)]
 pub struct OutLead {
@@ -375,22 +315,3 @@
     #[prost(uint64, tag = "4")]
     pub left: u64,
 }
-
-#[derive(Clone, PartialEq, Message)]
-pub struct PulseReturn {
-    #[prost(uint64, tag = "1")]
-    pub term: u64,
-    #[prost(uint64, tag = "2")]
-    pub nonce: u64,
-    /// The newest image the answering disk has synced.
-    #[prost(uint64, tag = "3")]
-    pub at_term: u64,
-    #[prost(uint64, tag = "4")]
-    pub at_count: u64,
-    #[prost(uint64, tag = "5")]
-    pub born: u64,
-    #[prost(bool, tag = "6")]
-    pub blank: bool,
-    #[prost(bool, tag = "7")]
-    pub taken: bool,
-}
