--- a/base/src/settings.rs
+++ b/base/src/settings.rs
@@ -106,6 +106,9 @@
     pub losses: usize,
 }
 
+/// How many control nodes a settings file names at most; fewer where fewer serve just then.
+const MOST_SEEDS: usize = 3;
+
 /// Reads a settings file's text.
 pub fn read(text: &[u8]) -> Result<Settings, String> {
     crate::strict::read(text).map_err(|e| e.to_string())
@@ -157,8 +160,8 @@
                 bad.push(format!("{field}: 1 to 64 characters belong here"));
             }
         }
-        if seeds.len() != 3 {
-            bad.push(format!("seeds: {} addresses, where three belong", seeds.len()));
+        if !(1..=MOST_SEEDS).contains(&seeds.len()) {
+            bad.push(format!("seeds: {} addresses, where 1 to {MOST_SEEDS} belong", seeds.len()));
         }
         if !["error", "warn", "info", "debug"].contains(&self.log.as_str()) {
             bad.push(format!("log: {:?} is not error, warn, info or debug", self.log));
--- a/hub/src/consensus/core.rs
+++ b/hub/src/consensus/core.rs
@@ -75,7 +75,7 @@
 }
 
 /// A control node's part in the consensus, without any I/O.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Core {
     pub(super) identity: Identity,
     pub(super) timing: Timing,
@@ -94,6 +94,9 @@
     pub(super) leaving: bool,
     pub(super) peers: BTreeMap<String, Peer>,
     pub(super) nonce: u64,
+    /// The newest term that any answer told of. A candidate asks in a newer one: in an older term, a node that already
+    /// voted for another could neither vote nor be elected.
+    pub(super) newest_term_heard: u64,
     /// Images of this term that do not lie on a quorum of disks yet, by index.
     pub(super) uncommitted: BTreeMap<u64, Rc<Image>>,
     /// The newest image of this term that lies on a quorum of disks, and its index.
@@ -129,6 +132,7 @@
             leaving: false,
             peers: BTreeMap::new(),
             nonce: 0,
+            newest_term_heard: 0,
             uncommitted: BTreeMap::new(),
             committed: None,
             waiting: Vec::new(),
@@ -230,7 +234,7 @@
             Message::VoteRequest(m) => self.on_vote_request(clock, from, m),
             Message::VoteResponse(m) => self.on_vote_response(from, m),
             Message::Heartbeat(m) => self.on_heartbeat(clock, from, *m),
-            Message::HeartbeatAck(m) => self.on_heartbeat_ack(clock, from, m),
+            Message::HeartbeatAck(m) => self.on_acknowledgement(clock, from, m),
         }
     }
 
@@ -348,6 +352,11 @@
         self.committed.as_ref().map(|c| c.1.clone())
     }
 
+    /// Where the newest image stands that is known to lie on a quorum of disks; only while leading.
+    pub fn committed_version(&self) -> Option<Version> {
+        self.committed.as_ref().map(|c| Version { term: self.durable.term, index: c.0 })
+    }
+
     /// What lies on this node's disk, or will once the present step is over.
     pub fn durable(&self) -> &DurableState {
         &self.durable
--- a/hub/src/consensus/election.rs
+++ b/hub/src/consensus/election.rs
@@ -34,7 +34,7 @@
     /// Votes for itself in the next term.
     fn stand(&mut self, transfer: bool) {
         let mut next = DurableState::clone(&self.durable);
-        next.term += 1;
+        next.term = self.next_term();
         next.voted_for.clone_from(&self.identity.name);
         self.save(next, AfterSave::RequestVotes { transfer });
     }
@@ -48,7 +48,7 @@
         self.role = Role::Candidate { pre_vote, transfer, nonce, since: clock.now, wait, granted };
         let version = self.version();
         let request = VoteRequest {
-            term: self.durable.term + u64::from(pre_vote),
+            term: if pre_vote { self.next_term() } else { self.durable.term },
             version_term: version.term,
             version_index: version.index,
             incarnation: self.durable.incarnation,
@@ -63,6 +63,10 @@
         self.try_win();
     }
 
+    fn next_term(&self) -> u64 {
+        self.durable.term.max(self.newest_term_heard) + 1
+    }
+
     /// Answers a candidate.
     pub(super) fn on_vote_request(&mut self, clock: Clock, from: &str, request: VoteRequest) {
         if !self.may_vote(clock, from, &request) {
@@ -112,6 +116,7 @@
             peer.incarnation = response.incarnation;
             peer.empty = response.empty;
         }
+        self.newest_term_heard = self.newest_term_heard.max(response.term);
         let counts = response.granted && self.counts(from, response.incarnation);
         match &mut self.role {
             Role::Candidate { nonce, granted, .. } if *nonce == response.nonce && counts => {
--- a/hub/src/consensus/formation.rs
+++ b/hub/src/consensus/formation.rs
@@ -12,16 +12,18 @@
     /// Forms the first image, if all control nodes named in the settings say that they hold none, and this is the first
     /// of them by name, or the one that an operator rescued.
     pub(super) fn form(&mut self) {
-        if !self.may_form() {
+        let seeds = self.formation_seeds();
+        if !seeds.contains(&self.identity.address.to_string()) {
             return;
         }
-        let named = |address: &str| address.parse().is_ok_and(|a| self.identity.seeds.contains(&a));
+        let count = seeds.len();
+        let named = |address: &String| seeds.contains(address);
         let seeds: Vec<_> = self.peers.iter().filter(|(_, p)| named(&p.address)).collect();
         let ready = seeds.iter().filter(|(_, p)| p.empty && p.incarnation != 0 && p.connected).count();
         // A seed that lost its disk forms nothing; whoever has one that was there from the start does.
         let rival = |name: &String, p: &Peer| p.rescued || (p.may_form && *name < self.identity.name);
         let first = !seeds.iter().any(|(name, p)| rival(name, p));
-        if ready + 1 != self.identity.seeds.len() || !(first || self.durable.rescued) {
+        if ready + 1 != count || !(first || self.durable.rescued) {
             return;
         }
         let member = |name: &str, incarnation, address: &str, zone: &str| Member {
@@ -50,8 +52,12 @@
         self.save(next, AfterSave::BeginTerm);
     }
 
-    fn may_form(&self) -> bool {
-        let allowed = self.durable.may_form || self.durable.rescued || self.guards.form_again;
-        allowed && self.identity.seeds.contains(&self.identity.address)
+    /// The control nodes that form the first image: those named when the whole system first started, or, for an image
+    /// that an operator took, those named now.
+    fn formation_seeds(&self) -> Vec<String> {
+        if self.durable.rescued || self.guards.form_again {
+            return self.identity.seeds.iter().map(ToString::to_string).collect();
+        }
+        self.durable.formation_seeds.clone()
     }
 }
--- a/hub/src/consensus/replication.rs
+++ b/hub/src/consensus/replication.rs
@@ -133,7 +133,7 @@
     }
 
     /// Takes in what another control node has synced.
-    pub(super) fn on_heartbeat_ack(&mut self, clock: Clock, from: &str, ack: HeartbeatAck) {
+    pub(super) fn on_acknowledgement(&mut self, clock: Clock, from: &str, ack: HeartbeatAck) {
         let term = self.durable.term;
         let leading = self.role == Role::Leader;
         let Some(peer) = self.peers.get_mut(from) else { return };
@@ -143,6 +143,7 @@
         peer.incarnation = ack.incarnation;
         peer.empty = ack.empty;
         peer.leaving = ack.leaving;
+        self.newest_term_heard = self.newest_term_heard.max(ack.term);
         if ack.term > term {
             return self.follow("");
         }
--- a/hub/src/consensus/service.rs
+++ b/hub/src/consensus/service.rs
@@ -252,7 +252,7 @@
         hello.incarnation = state.incarnation;
         hello.empty = state.empty();
         hello.rescued = state.rescued;
-        hello.may_form = state.may_form;
+        hello.may_form = state.may_form();
     }
 
     /// Whether another process counts by the same bounds; leases and holds rest on that.
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -152,7 +152,9 @@
     if state.incarnation == 0 {
         // Written before anything else, so that whoever counts this disk knows it again after a restart.
         state.incarnation = env.rand() | 1;
-        state.may_form = place.first_start && found == Found::Fresh;
+        if place.first_start && found == Found::Fresh && place.seeds.contains(&place.peer) {
+            state.formation_seeds = place.seeds.iter().map(ToString::to_string).collect();
+        }
         store.keep(&state).await;
     }
     let peer = env.listen(place.peer).await?;
--- a/hub/src/store/mod.rs
+++ b/hub/src/store/mod.rs
@@ -42,9 +42,10 @@
     /// An operator took this image knowingly, as the other disks are lost: the system may form anew from it.
     #[prost(bool, tag = "7")]
     pub rescued: bool,
-    /// The disk was first used at the first start of the whole system, so this node may form the first image.
-    #[prost(bool, tag = "8")]
-    pub may_form: bool,
+    /// The control nodes that were named at the first start of the whole system, if this disk was there: only they, this
+    /// node among them, form the first image.
+    #[prost(string, repeated, tag = "8")]
+    pub formation_seeds: Vec<String>,
 }
 
 impl DurableState {
@@ -53,6 +54,11 @@
         Version { term: self.version_term, index: self.version_index }
     }
 
+    /// Whether this disk was there, and named, at the first start of the whole system.
+    pub fn may_form(&self) -> bool {
+        !self.formation_seeds.is_empty()
+    }
+
     /// Whether there is no image that counts.
     pub fn empty(&self) -> bool {
         self.image.is_none() || self.rescued
