--- a/hub/src/consensus/links.rs
+++ b/hub/src/consensus/links.rs
@@ -12,6 +12,9 @@
 
 use super::{Consensus, Input, PeerHello};
 
+/// For how many spans that make a member count as lost a guest is dialled after it was last heard of.
+const GUEST_MEMORY: u32 = 4;
+
 /// After how many holds of silence a leader gives a link up.
 const SILENT_HOLDS: u32 = 4;
 
@@ -19,7 +22,7 @@
     /// Another control node dialled this one or told of itself; it is dialled from now on.
     pub fn met(&self, address: &str) {
         if let Ok(address) = address.parse() {
-            self.guests.borrow_mut().insert(address);
+            self.guests.borrow_mut().insert(address, self.env.now());
         }
     }
 
@@ -27,7 +30,10 @@
     pub async fn keep_links(self: Rc<Self>) -> Result<(), Infallible> {
         let mut tasks: BTreeMap<SocketAddr, Job> = BTreeMap::new();
         loop {
-            for address in self.addresses() {
+            self.forget_guests();
+            let addresses = self.addresses();
+            tasks.retain(|address, _| addresses.contains(address));
+            for address in addresses {
                 tasks.entry(address).or_insert_with(|| {
                     let me = self.clone();
                     self.env.spawn(async move { me.keep_link(address).await })
@@ -37,9 +43,23 @@
         }
     }
 
+    /// Guests that have not been heard of for long are gone for good, or come by again.
+    fn forget_guests(&self) {
+        let now = self.env.now();
+        let connected = self.connected.borrow();
+        self.guests.borrow_mut().retain(|address, last| {
+            if connected.contains(address) {
+                *last = now;
+            }
+            now < *last + self.bounds.gone() * GUEST_MEMORY
+        });
+    }
+
+    /// Whom this node dials. An address with a link stays, so that no task ends in the midst of it.
     fn addresses(&self) -> BTreeSet<SocketAddr> {
         let mut all: BTreeSet<SocketAddr> = self.identity.seeds.iter().copied().collect();
-        all.extend(self.guests.borrow().iter());
+        all.extend(self.guests.borrow().keys());
+        all.extend(self.connected.borrow().iter());
         if let Some(image) = &self.core.borrow().durable().image {
             let members = image.members.iter().chain(&image.outgoing_members);
             all.extend(members.filter_map(|m| m.address.parse::<SocketAddr>().ok()));
@@ -51,7 +71,9 @@
     async fn keep_link(self: Rc<Self>, address: SocketAddr) {
         loop {
             if let Some((hello, input, out)) = self.dial(address).await.filter(|d| d.0.name != self.identity.name) {
+                self.connected.borrow_mut().insert(address);
                 self.use_link(hello, input, out).await;
+                self.connected.borrow_mut().remove(&address);
             }
             self.env.sleep(self.bounds.pulse()).await;
         }
--- a/hub/src/consensus/service.rs
+++ b/hub/src/consensus/service.rs
@@ -50,8 +50,10 @@
     pub bell: Bell,
     /// Links that this node dialled, by the name of the other side.
     pub(super) links: RefCell<BTreeMap<String, Out>>,
-    /// Control nodes that are not named in the settings but dialled this node.
-    pub(super) guests: RefCell<BTreeSet<SocketAddr>>,
+    /// Control nodes that dialled this node or told of themselves, and when they last did or were connected.
+    pub(super) guests: RefCell<BTreeMap<SocketAddr, Duration>>,
+    /// Addresses to which a link stands.
+    pub(super) connected: RefCell<BTreeSet<SocketAddr>>,
     waiting: RefCell<BTreeMap<Ticket, oneshot::Sender<Outcome>>>,
     tickets: Cell<Ticket>,
     tick_queued: Cell<bool>,
@@ -85,6 +87,7 @@
             bell: Bell::default(),
             links: RefCell::default(),
             guests: RefCell::default(),
+            connected: RefCell::default(),
             waiting: RefCell::default(),
             tickets: Cell::default(),
             tick_queued: Cell::default(),
