Answers are tied to their calls; a statement that may not be repeated is a type

Mended beside them: an outer request now bears the boot of its origin, so that an answer to an earlier life goes to nobody; an order that was held up until its origin had given it up is not carried out; without a parent an order is refused at once in place of a silent wait; a request that was dropped is forgotten. The HTTP client closes at once a connection that an answer is owed on; it did not reuse one before either (hyper). Waiting for the connection counts into a call's span.

`Once` can't be copied and comes back only where it surely was not run; `Repeatable` is what a retry takes. Every loop around a send was read; none sent a write twice, so this changes no behaviour.

Ruled out: a deadline by the clock (clocks are stepped), and counting time in relays (the network's queues are not seen).

--- a/base/src/http/client.rs
+++ b/base/src/http/client.rs
@@ -18,12 +18,14 @@
     Unsure,
 }
 
-/// One HTTP connection to a server or peer.
+/// One HTTP connection to a server or peer, one call at a time. It makes each call once; whether to make it again is its
+/// caller's to decide. A connection with an answer still owed is closed and never carries another call.
 pub struct Client {
     env: Env,
     send: http1::SendRequest<Full<Bytes>>,
     most: usize,
-    _job: Job,
+    /// The task that carries the connection; taken away, it closes.
+    job: Option<Job>,
 }
 
 impl Client {
@@ -34,12 +36,12 @@
         let job = env.spawn(async move {
             let _ = conn.await;
         });
-        Ok(Self { env: env.clone(), send, most, _job: job })
+        Ok(Self { env: env.clone(), send, most, job: Some(job) })
     }
 
     /// Whether the connection can still carry a call.
     pub fn open(&self) -> bool {
-        !self.send.is_closed()
+        self.job.is_some() && !self.send.is_closed()
     }
 
     /// Sends one request and waits up to `span` for its whole answer.
@@ -51,7 +53,10 @@
         body: Bytes,
         span: Duration,
     ) -> Result<Return, Fault> {
-        if self.send.ready().await.is_err() {
+        // Held here for as long as the answer is owed: on a time-out, a fault, or when this call is dropped, it ends.
+        let job = self.job.take().ok_or(Fault::Unsent)?;
+        let end = self.env.now() + span;
+        if !matches!(self.env.within(span, self.send.ready()).await, Ok(Ok(()))) {
             return Err(Fault::Unsent);
         }
         let mut req = Request::builder().method(method).uri(path).header("host", "portspoke");
@@ -75,10 +80,10 @@
             let close = head.headers.get("connection").is_some_and(|v| v.as_bytes() == b"close");
             Ok(Return { code: head.status.as_u16(), head: list.collect(), body, close })
         };
-        match self.env.within(span, work).await {
-            Ok(out) => out,
-            Err(_) => Err(Fault::Unsure),
-        }
+        let left = end.saturating_sub(self.env.now());
+        let out = self.env.within(left, work).await.map_err(|_| Fault::Unsure)??;
+        self.job = (!out.close).then_some(job);
+        Ok(out)
     }
 
     /// Connects, sends one request, closes.
--- a/base/src/talk/mod.rs
+++ b/base/src/talk/mod.rs
@@ -2,9 +2,11 @@
 //! speaking) translates; nothing here knows how any of it looks on a wire.
 
 mod line;
+mod request;
 mod seat;
 
 pub use line::{Line, Manner, Naming, Refused, Reply, Row, Verdict};
+pub use request::{Once, Repeatable, Request};
 pub use seat::{Fail, Host, Phase, Seat, Told};
 
 /// What a statement asks for.
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -95,8 +95,8 @@
         let task = async move {
             let out = duty.answer(&ask.method, &ask.path, ask.body).await;
             let retry = out.header("retry-after").and_then(|r| r.parse().ok()).unwrap_or(0);
-            let (origin, nonce) = (ask.origin, ask.nonce);
-            done(AskReturn { origin, nonce, code: u32::from(out.code), retry, body: out.body });
+            let (origin, boot, nonce) = (ask.origin, ask.boot, ask.nonce);
+            done(AskReturn { origin, nonce, code: u32::from(out.code), retry, body: out.body, boot });
         };
         self.env.spawn(task).detach();
     }
--- a/spoke/src/talk/read.rs
+++ b/spoke/src/talk/read.rs
@@ -2,7 +2,7 @@
 
 use base::{
     Kind,
-    talk::{Fail, Reply, Said, Told, Verdict},
+    talk::{Fail, Repeatable, Reply, Told, Verdict},
     words::Position,
 };
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, select_biased, stream::FuturesUnordered};
@@ -26,14 +26,14 @@
 struct Errand {
     gate: Gate,
     key: Key,
-    said: Said,
+    statement: Repeatable,
     guise: Guise,
     due: Duration,
 }
 
 impl Works {
     /// A single read. It may be sent to a second server when the first one's answer is late: nothing is changed by it.
-    pub(super) async fn read_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: Said) -> Told {
+    pub(super) async fn read_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, statement: Repeatable) -> Told {
         bump(&self.tally.reads);
         let (name, own) = {
             let s = stock.borrow();
@@ -45,8 +45,8 @@
             Err(k) => return no(k),
         };
         let hedge = gate.aim.unwrap_or_else(|| self.spans(&gate).0) / 2;
-        let guise = Guise::of(&stock.borrow(), &said);
-        let errand = Rc::new(Errand { gate, key, said, guise, due });
+        let guise = Guise::of(&stock.borrow(), statement.said());
+        let errand = Rc::new(Errand { gate, key, statement, guise, due });
         let mut tried: Vec<String> = Vec::new();
         let mut sends: FuturesUnordered<LocalBoxFuture<'static, Ended>> = FuturesUnordered::new();
         let mut last = Kind::NoServer;
@@ -145,7 +145,7 @@
             return Err(Miss::Unrun(Kind::NoLeader));
         }
         let after = floor(target);
-        self.utter(&mut slot, &errand.key, &errand.said, &errand.guise, after, errand.due).await
+        self.send_repeatable(&mut slot, &errand.key, &errand.statement, &errand.guise, after, errand.due).await
     }
 }
 
--- a/spoke/src/talk/seat.rs
+++ b/spoke/src/talk/seat.rs
@@ -3,7 +3,7 @@
 use base::{
     Kind,
     seam::Local,
-    talk::{Act, Fail, Phase, Said, Seat, Told},
+    talk::{Act, Fail, Phase, Request, Said, Seat, Told},
     words::Position,
 };
 
@@ -118,10 +118,12 @@
                     Some(w) => w,
                     None => return self.fail(stock, Fail::no(Kind::NoName)),
                 };
-                match (phase, writes) {
-                    (Phase::Open, _) => self.within_talk(stock, &said, writes).await,
-                    (_, true) => self.write_talk(stock, &said).await,
-                    (_, false) => self.read_talk(stock, said).await,
+                if phase == Phase::Open {
+                    return self.within_talk(stock, &said, writes).await;
+                }
+                match Request::of(said, writes) {
+                    Request::Once(statement) => self.write_talk(stock, statement).await,
+                    Request::Repeatable(statement) => self.read_talk(stock, statement).await,
                 }
             }
             Act::Commit if phase == Phase::Open => self.commit(stock, &said).await,
--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -3,7 +3,7 @@
 use base::{
     Kind,
     http::Fault,
-    talk::{Refused, Reply, Said, Verdict},
+    talk::{Once, Refused, Repeatable, Reply, Said, Verdict},
     words::Position,
 };
 use pick::Outcome;
@@ -41,9 +41,61 @@
     Unsure,
 }
 
+/// Why sending a statement that may take effect brought no answer that can be used. Only where it surely was not run does
+/// the statement come back to be sent again.
+#[derive(Debug)]
+pub enum OnceError {
+    NotRun(Kind, Once),
+    /// It was run and failed.
+    Failed(Kind),
+    /// It may have been run.
+    Unsure,
+}
+
+impl From<OnceError> for Miss {
+    fn from(error: OnceError) -> Self {
+        match error {
+            OnceError::NotRun(kind, _) => Miss::Unrun(kind),
+            OnceError::Failed(kind) => Miss::Failed(kind),
+            OnceError::Unsure => Miss::Unsure,
+        }
+    }
+}
+
 impl Works {
-    /// Says one statement to a server on a connection that wears what it must; notes how it went.
-    pub async fn utter(
+    /// Sends a statement that changes nothing.
+    pub(super) async fn send_repeatable(
+        &self,
+        slot: &mut Slot,
+        key: &Key,
+        statement: &Repeatable,
+        guise: &Guise,
+        after: Option<Position>,
+        due: Duration,
+    ) -> Result<Reply, Miss> {
+        self.utter(slot, key, statement.said(), guise, after, due).await
+    }
+
+    /// Sends a statement that may take effect, and takes it away.
+    pub(super) async fn send_once(
+        &self,
+        slot: &mut Slot,
+        key: &Key,
+        statement: Once,
+        guise: &Guise,
+        due: Duration,
+    ) -> Result<Reply, OnceError> {
+        match self.utter(slot, key, statement.said(), guise, None, due).await {
+            Ok(reply) => Ok(reply),
+            Err(Miss::Unrun(kind)) => Err(OnceError::NotRun(kind, statement)),
+            Err(Miss::Failed(kind)) => Err(OnceError::Failed(kind)),
+            Err(Miss::Unsure) => Err(OnceError::Unsure),
+        }
+    }
+
+    /// Says one statement to a server on a connection that wears what it must; notes how it went. Private to this file:
+    /// others send what may be repeated and what may not in the two ways above.
+    async fn utter(
         &self,
         slot: &mut Slot,
         key: &Key,
--- a/spoke/src/talk/trans.rs
+++ b/spoke/src/talk/trans.rs
@@ -5,13 +5,13 @@
     edge::operator::Promise,
     error::Kept,
     seam::Job,
-    talk::{Act, Fail, Phase, Said, Told, Verdict},
+    talk::{Act, Fail, Once, Phase, Repeatable, Said, Told, Verdict},
 };
 
 use super::{
     read::floor,
     seat::{Stock, told},
-    send::{Guise, Miss},
+    send::{Guise, Miss, OnceError},
 };
 use crate::{
     decide::{Basis, Gate, Order},
@@ -82,8 +82,9 @@
             }
         };
         t.wrote |= writes;
-        let out = self.utter(&mut t.slot, &t.key, said, &guise, None, self.soon(&t.gate, due)).await;
-        self.within_end(stock, t, out)
+        let due = self.soon(&t.gate, due);
+        let out = self.send_once(&mut t.slot, &t.key, Once::new(said.clone()), &guise, due).await;
+        self.within_end(stock, t, out.map_err(Miss::from))
     }
 
     /// When an answer inside a transaction is given up on. Nothing of it is kept before its commit, so its caller may
@@ -132,20 +133,22 @@
         let due = start + most;
         let key = self.gauges.key(&name, "");
         let mut tried = Vec::new();
+        let mut statement = Once::new(said.clone());
         loop {
             let opened = self.open_trans(stock, &gate, &key, begun, due, &mut tried).await;
             let kind = match opened {
                 Err(k) => k,
                 Ok(slot) => {
                     let mut t = Trans { slot, key: key.clone(), gate: gate.clone(), wrote: writes, idle: None };
-                    let out = self.utter(&mut t.slot, &key, said, guise, None, self.soon(&gate, due)).await;
+                    let out = self.send_once(&mut t.slot, &key, statement, guise, self.soon(&gate, due)).await;
                     match out {
-                        Err(Miss::Unrun(k)) if said.act != Act::Commit => {
+                        Err(OnceError::NotRun(k, back)) if said.act != Act::Commit => {
+                            statement = back;
                             self.undo(t).await;
                             k
                         }
-                        out if said.act == Act::Commit => return self.commit_end(stock, t, out),
-                        out => return self.within_end(stock, t, out),
+                        out if said.act == Act::Commit => return self.commit_end(stock, t, out.map_err(Miss::from)),
+                        out => return self.within_end(stock, t, out.map_err(Miss::from)),
                     }
                 }
             };
@@ -191,7 +194,8 @@
             self.lead_slot(&gate.group, due).await?
         };
         let guise = Guise::of(&stock.borrow(), begun);
-        match self.utter(&mut slot, key, begun, &guise, floor(&target), due).await {
+        let opening = Repeatable::opening(begun).ok_or(Kind::Order)?;
+        match self.send_repeatable(&mut slot, key, &opening, &guise, floor(&target), due).await {
             Ok(_) => Ok(slot),
             Err(Miss::Unrun(k)) => {
                 slot.spoil();
@@ -222,8 +226,8 @@
         let (most, _) = self.spans(&t.gate);
         let due = self.env.now() + most;
         let guise = Guise::of(&stock.borrow(), said);
-        let out = self.utter(&mut t.slot, &t.key, said, &guise, None, due).await;
-        self.commit_end(stock, t, out)
+        let out = self.send_once(&mut t.slot, &t.key, Once::new(said.clone()), &guise, due).await;
+        self.commit_end(stock, t, out.map_err(Miss::from))
     }
 
     fn commit_end(
--- a/spoke/src/talk/write.rs
+++ b/spoke/src/talk/write.rs
@@ -2,12 +2,12 @@
 
 use base::{
     Kind,
-    talk::{Fail, Said, Told, Verdict},
+    talk::{Fail, Once, Told, Verdict},
 };
 
 use super::{
     seat::{Stock, told},
-    send::{Guise, Miss},
+    send::{Guise, OnceError},
 };
 use crate::{
     decide::Target,
@@ -18,7 +18,7 @@
 impl Works {
     /// A single write. It is sent again only where it surely was not run; once its bytes may have left and no answer came,
     /// what became of it can't be told.
-    pub(super) async fn write_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: &Said) -> Told {
+    pub(super) async fn write_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, mut statement: Once) -> Told {
         bump(&self.tally.writes);
         let name = stock.borrow().name.clone();
         let no = |kind: Kind| told(Err(Fail::no(kind)), None);
@@ -26,11 +26,12 @@
             Ok(e) => e,
             Err(k) => return no(k),
         };
-        let guise = Guise::of(&stock.borrow(), said);
+        let guise = Guise::of(&stock.borrow(), statement.said());
+        let copy = self.decider.tricks.resend.then(|| statement.said().clone());
         loop {
             let kind = match self.lead_slot(&gate.group, due).await {
                 Err(k) => k,
-                Ok((mut slot, _)) => match self.utter(&mut slot, &key, said, &guise, None, due).await {
+                Ok((mut slot, _)) => match self.send_once(&mut slot, &key, statement, &guise, due).await {
                     Ok(reply) => {
                         let Verdict::Done(mark) = reply.verdict else { return no(Kind::Failed) };
                         if let Some(p) = reply.place {
@@ -39,12 +40,15 @@
                         }
                         return Told { rows: reply.rows, ..told(Ok(mark), reply.place) };
                     }
-                    Err(Miss::Unrun(k)) => k,
-                    Err(Miss::Failed(k)) => return told(Err(Fail::unsure(k)), None),
-                    Err(Miss::Unsure) if self.decider.tricks.resend => {
-                        return Box::pin(self.write_talk(stock, said)).await;
+                    Err(OnceError::NotRun(k, back)) => {
+                        statement = back;
+                        k
                     }
-                    Err(Miss::Unsure) => {
+                    Err(OnceError::Failed(k)) => return told(Err(Fail::unsure(k)), None),
+                    Err(OnceError::Unsure) => {
+                        if let Some(said) = copy {
+                            return Box::pin(self.write_talk(stock, Once::new(said))).await;
+                        }
                         bump(&self.tally.unknown);
                         return told(Err(Fail::unsure(Kind::Unknown)), None);
                     }
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -250,7 +250,7 @@
     pub depth: u32,
 }
 
-/// An outer request handed up the tree to the leading hub.
+/// An outer request handed up the tree to the leading hub. Origin, boot and nonce together name it, over restarts too.
 #[derive(Clone, PartialEq, Message)]
 pub struct Ask {
     #[prost(string, tag = "1")]
@@ -263,6 +263,18 @@
     pub path: String,
     #[prost(bytes = "bytes", tag = "5")]
     pub body: prost::bytes::Bytes,
+    /// The random number of the run of the process that asks.
+    #[prost(uint64, tag = "6")]
+    pub boot: u64,
+    /// It may take effect, and so must not once its origin has given it up.
+    #[prost(bool, tag = "7")]
+    pub once: bool,
+    /// The nonce of the newest beat of the origin's that was returned.
+    #[prost(uint64, tag = "8")]
+    pub heard: u64,
+    /// Milliseconds from when that beat was sent to when this was.
+    #[prost(uint64, tag = "9")]
+    pub since: u64,
 }
 
 /// The answer that goes back down to where the request came in.
@@ -278,6 +290,9 @@
     pub retry: u32,
     #[prost(bytes = "bytes", tag = "5")]
     pub body: prost::bytes::Bytes,
+    /// As in the request.
+    #[prost(uint64, tag = "6")]
+    pub boot: u64,
 }
 
 /// A parent tells a child how far it is from the leading hub.
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -1,8 +1,12 @@
 //! The tree of relays: beats and asks go up to the leading hub, returns and news come down.
 
+mod ask;
 mod join;
 mod serve;
 
+use ask::Arrivals;
+pub use ask::Guards;
+
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
@@ -12,10 +16,8 @@
 };
 
 use base::{
-    Bounds, Kind,
+    Bounds,
     bell::Bell,
-    edge::refuse,
-    http,
     seam::{Env, Listener, Part},
     tree::Tree,
 };
@@ -87,6 +89,10 @@
     parent: RefCell<Option<Parent>>,
     news: RefCell<Option<Rc<News>>>,
     asks: RefCell<BTreeMap<u64, oneshot::Sender<AskReturn>>>,
+    /// At the leading hub: when beats came that were returned.
+    arrivals: RefCell<BTreeMap<String, Arrivals>>,
+    /// Test switches.
+    pub guards: Guards,
     sent: RefCell<VecDeque<(u64, Duration)>>,
     heard: Cell<u64>,
     heard_at: Cell<Option<Duration>>,
@@ -115,6 +121,8 @@
             parent: RefCell::default(),
             news: RefCell::default(),
             asks: RefCell::default(),
+            arrivals: RefCell::default(),
+            guards: Guards::default(),
             sent: RefCell::default(),
             heard: Cell::default(),
             heard_at: Cell::default(),
@@ -229,9 +237,11 @@
             match body {
                 Body::Beat(b) => {
                     if let Some(ret) = self.head().beaten(b) {
+                        self.arrived(&ret);
                         self.down(Body::BeatReturn(ret));
                     }
                 }
+                Body::Ask(a) if !self.timely(&a) => self.down(Body::AskReturn(ask::too_late(a))),
                 Body::Ask(a) => {
                     let routes = self.me();
                     self.head().asked(
@@ -280,47 +290,11 @@
                     self.tell_root();
                 }
             }
-            Body::AskReturn(r) => {
-                if let Some(done) = self.asks.borrow_mut().remove(&r.nonce) {
-                    let _ = done.send(r);
-                }
-            }
+            Body::AskReturn(r) => self.answered(r),
             _ => {}
         }
     }
 
-    /// Hands an outer request to the leading hub; `None` when no return came within `span`.
-    pub async fn ask(&self, method: &str, path: &str, body: bytes::Bytes, span: Duration) -> Option<AskReturn> {
-        let nonce = self.who.boot.wrapping_add(self.next());
-        let (done, wait) = oneshot::channel();
-        self.asks.borrow_mut().insert(nonce, done);
-        self.up(Body::Ask(Ask {
-            origin: self.who.name.clone(),
-            nonce,
-            method: method.into(),
-            path: path.into(),
-            body,
-        }));
-        let out = self.env.within(span, wait).await;
-        self.asks.borrow_mut().remove(&nonce);
-        out.ok()?.ok()
-    }
-
-    /// Answers an outer request by what the leading hub says. Without its word a read is refused, and so is a server's
-    /// report, which is simply made again; of anything else the outcome is unknown.
-    pub async fn pass(&self, ask: http::Ask) -> http::Return {
-        let read = ask.method == "GET" || ask.path.starts_with("/report");
-        let span = self.bounds().call() * 3;
-        match self.ask(ask.method.as_str(), &ask.path, ask.body, span).await {
-            Some(r) => {
-                let out = http::Return::new(r.code as u16, r.body).with("content-type", "application/json");
-                if r.retry > 0 { out.with("retry-after", r.retry) } else { out }
-            }
-            None if read => refuse(Kind::Unconfirmed, "no answer from the leading hub", None),
-            None => refuse(Kind::Unknown, "no answer from the leading hub; read back before sending it again", None),
-        }
-    }
-
     fn send_beat(&self, leaving: bool) {
         let Some(out) = self.parent.borrow().as_ref().map(|p| p.out.clone()) else { return };
         let nonce = self.next();
