--- a/spoke/src/pool/mod.rs
+++ b/spoke/src/pool/mod.rs
@@ -30,7 +30,7 @@
 
 /// Session values and prepared names that a connection in the users' manner wears.
 #[derive(Debug, Default)]
-pub struct Worn {
+pub struct AppliedState {
     values: BTreeMap<String, String>,
     /// By what was prepared, the name it has on this connection; callers' own names clash.
     names: BTreeMap<String, String>,
@@ -38,7 +38,7 @@
 
 enum Link {
     Http(Client),
-    Talk(Box<dyn Line>, Worn),
+    Talk(Box<dyn Line>, AppliedState),
 }
 
 impl Link {
--- a/spoke/src/pool/slot.rs
+++ b/spoke/src/pool/slot.rs
@@ -9,7 +9,7 @@
 };
 use bytes::Bytes;
 
-use super::{Conn, Dress, Link, Pool, Worn};
+use super::{AppliedState, Conn, Dress, Link, Pool};
 
 /// The largest body a server may answer with.
 const MOST: usize = 8 << 20;
@@ -50,7 +50,7 @@
                 Ok(Ok(line)) => {
                     self.pool.trying.set(None);
                     self.pool.opened.set(self.pool.opened.get() + 1);
-                    self.conn = Some(Conn { line: Link::Talk(line, Worn::default()), dress: None });
+                    self.conn = Some(Conn { line: Link::Talk(line, AppliedState::default()), dress: None });
                     Ok(())
                 }
                 // One that is there and takes no session lives, and is full.
@@ -104,7 +104,7 @@
         Ok(out)
     }
 
-    fn worn(&mut self) -> Option<&mut Worn> {
+    fn worn(&mut self) -> Option<&mut AppliedState> {
         match &mut self.conn {
             Some(Conn { line: Link::Talk(_, w), .. }) => Some(w),
             _ => None,
@@ -125,7 +125,7 @@
 
     /// Makes the connection wear exactly these session values, and know one prepared statement if there is one; gives
     /// the name that it has here.
-    pub async fn wear(
+    pub async fn apply_session(
         &mut self,
         values: &BTreeMap<String, String>,
         prepared: Option<(&str, bool)>,
@@ -133,7 +133,7 @@
     ) -> Result<String, Fault> {
         let Some(worn) = self.worn() else { return Err(Fault::Unsent) };
         if worn.values.keys().any(|k| !values.contains_key(k)) || worn.names.len() > NAMES {
-            *worn = Worn::default();
+            *worn = AppliedState::default();
             self.ready(Act::Wipe, "", "", due).await?;
         }
         for (k, v) in values {
--- a/spoke/src/talk/mod.rs
+++ b/spoke/src/talk/mod.rs
@@ -29,7 +29,7 @@
             Err(k) => return Err(Fail::no(k)),
         }
         bump(&self.works.tally.sessions);
-        Ok(Rc::new(seat::Guest::new(&self.works, name)))
+        Ok(Rc::new(seat::CallerSession::new(&self.works, name)))
     }
 
     fn ready(&self) -> bool {
--- a/spoke/src/talk/read.rs
+++ b/spoke/src/talk/read.rs
@@ -8,8 +8,8 @@
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, select_biased, stream::FuturesUnordered};
 
 use super::{
-    seat::{Stock, told},
-    send::{Guise, Miss},
+    seat::{SessionData, told},
+    send::{SendError, SessionState},
 };
 use crate::{
     decide::{Basis, Gate, Order, Target},
@@ -20,23 +20,23 @@
 /// How often one read is sent at most.
 const SENDS: usize = 4;
 
-type Ended = (String, Result<Reply, Miss>);
+type Ended = (String, Result<Reply, SendError>);
 
 /// What every send of one read shares.
-struct Errand {
+struct ReadTask {
     gate: Gate,
     key: Key,
     statement: Repeatable,
-    guise: Guise,
+    state: SessionState,
     due: Duration,
 }
 
 impl Works {
     /// A single read. It may be sent to a second server when the first one's answer is late: nothing is changed by it.
-    pub(super) async fn read_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, statement: Repeatable) -> Told {
+    pub(super) async fn read_talk(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>, statement: Repeatable) -> Told {
         bump(&self.tally.reads);
         let (name, own) = {
-            let s = stock.borrow();
+            let s = session.borrow();
             (s.name.clone(), s.own)
         };
         let no = |kind: Kind| told(Err(Fail::no(kind)), None);
@@ -45,21 +45,21 @@
             Err(k) => return no(k),
         };
         let hedge = gate.aim.unwrap_or_else(|| self.spans(&gate).0) / 2;
-        let guise = Guise::of(&stock.borrow(), statement.said());
-        let errand = Rc::new(Errand { gate, key, statement, guise, due });
+        let state = SessionState::of(&session.borrow(), statement.said());
+        let task = Rc::new(ReadTask { gate, key, statement, state, due });
         let mut tried: Vec<String> = Vec::new();
         let mut sends: FuturesUnordered<LocalBoxFuture<'static, Ended>> = FuturesUnordered::new();
         let mut last = Kind::NoServer;
         loop {
             let now = self.env.now();
-            if now >= errand.due {
+            if now >= task.due {
                 break;
             }
             if sends.is_empty() {
-                match self.next_send(&errand, own, &tried) {
+                match self.next_send(&task, own, &tried) {
                     Ok(t) if tried.len() < SENDS => {
                         tried.push(t.server.clone());
-                        sends.push(self.clone().send_read(errand.clone(), t).boxed_local());
+                        sends.push(self.clone().send_read(task.clone(), t).boxed_local());
                     }
                     other => {
                         if let Err(k) = other {
@@ -75,7 +75,7 @@
                 }
             }
             let late = self.env.sleep(hedge).fuse();
-            let over = self.env.sleep(errand.due - now).fuse();
+            let over = self.env.sleep(task.due - now).fuse();
             futures::pin_mut!(late, over);
             select_biased! {
                 ended = sends.next() => {
@@ -85,24 +85,24 @@
                             self.let_end(sends);
                             return answer(reply);
                         }
-                        Err(Miss::Unrun(k)) => {
+                        Err(SendError::NotRun(k)) => {
                             last = k;
                             if k == Kind::Full {
                                 self.pause().await;
                             }
                         }
-                        Err(Miss::Failed(k)) => last = k,
-                        Err(Miss::Unsure) => last = Kind::Failed,
+                        Err(SendError::Failed(k)) => last = k,
+                        Err(SendError::Unknown) => last = Kind::Failed,
                     }
                 }
                 _ = late => {
                     if tried.len() < 2
-                        && let Ok(t) = self.next_send(&errand, own, &tried)
+                        && let Ok(t) = self.next_send(&task, own, &tried)
                     {
                         bump(&self.tally.retried);
                         tried.push(t.server.clone());
-                        sends.push(self.clone().send_read(errand.clone(), t).boxed_local());
-                    } else if let Some((_, Ok(reply))) = self.env.within(errand.due - now, sends.next()).await.ok().flatten() {
+                        sends.push(self.clone().send_read(task.clone(), t).boxed_local());
+                    } else if let Some((_, Ok(reply))) = self.env.within(task.due - now, sends.next()).await.ok().flatten() {
                         self.let_end(sends);
                         return answer(reply);
                     }
@@ -123,29 +123,29 @@
         }
     }
 
-    fn next_send(&self, errand: &Errand, own: Position, tried: &[String]) -> Result<Target, Kind> {
-        match self.decider.spot(&errand.gate, &errand.key, own, tried) {
+    fn next_send(&self, task: &ReadTask, own: Position, tried: &[String]) -> Result<Target, Kind> {
+        match self.decider.spot(&task.gate, &task.key, own, tried) {
             Order::Send(t) => Ok(t),
             Order::Return(k) => Err(k),
         }
     }
 
-    async fn send_read(self: Rc<Self>, errand: Rc<Errand>, target: Target) -> Ended {
+    async fn send_read(self: Rc<Self>, task: Rc<ReadTask>, target: Target) -> Ended {
         let server = target.server.clone();
-        let out = self.carry_read(&errand, &target).await;
+        let out = self.carry_read(&task, &target).await;
         (server, out)
     }
 
-    async fn carry_read(&self, errand: &Errand, target: &Target) -> Result<Reply, Miss> {
-        let pool = self.pools.get(&target.server).ok_or(Miss::Unrun(Kind::NoServer))?;
-        let mut slot = pool.get(errand.due).await.map_err(Miss::Unrun)?;
+    async fn carry_read(&self, task: &ReadTask, target: &Target) -> Result<Reply, SendError> {
+        let pool = self.pools.get(&target.server).ok_or(SendError::NotRun(Kind::NoServer))?;
+        let mut slot = pool.get(task.due).await.map_err(SendError::NotRun)?;
         // Time was spent in the inbox: what the send rests on is looked at anew.
         let lead = matches!(target.basis, Basis::Leader { .. });
         if !self.decider.open(target) || (lead && !self.decider.leads(target)) {
-            return Err(Miss::Unrun(Kind::NoLeader));
+            return Err(SendError::NotRun(Kind::NoLeader));
         }
         let after = floor(target);
-        self.send_repeatable(&mut slot, &errand.key, &errand.statement, &errand.guise, after, errand.due).await
+        self.send_repeatable(&mut slot, &task.key, &task.statement, &task.state, after, task.due).await
     }
 }
 
--- a/spoke/src/talk/seat.rs
+++ b/spoke/src/talk/seat.rs
@@ -15,7 +15,7 @@
 
 /// What a session owns.
 #[derive(Default)]
-pub struct Stock {
+pub struct SessionData {
     pub name: String,
     pub values: BTreeMap<String, String>,
     /// Prepared names: whether they write, and what was prepared.
@@ -32,26 +32,26 @@
 }
 
 /// One caller's session.
-pub struct Guest {
+pub struct CallerSession {
     works: Rc<Works>,
-    stock: Rc<RefCell<Stock>>,
+    session: Rc<RefCell<SessionData>>,
 }
 
-impl Guest {
+impl CallerSession {
     /// A session with no state.
     pub fn new(works: &Rc<Works>, name: &str) -> Self {
-        let stock = Stock { name: name.into(), ..Stock::default() };
-        Self { works: works.clone(), stock: Rc::new(RefCell::new(stock)) }
+        let session = SessionData { name: name.into(), ..SessionData::default() };
+        Self { works: works.clone(), session: Rc::new(RefCell::new(session)) }
     }
 }
 
-impl Seat for Guest {
+impl Seat for CallerSession {
     fn say(&self, said: Said) -> Local<Told> {
-        let (works, stock) = (self.works.clone(), self.stock.clone());
+        let (works, session) = (self.works.clone(), self.session.clone());
         Box::pin(async move {
-            stock.borrow_mut().busy = true;
-            let mut told = works.hear(&stock, said).await;
-            let mut s = stock.borrow_mut();
+            session.borrow_mut().busy = true;
+            let mut told = works.hear(&session, said).await;
+            let mut s = session.borrow_mut();
             s.busy = false;
             told.phase = s.phase;
             told
@@ -59,14 +59,14 @@
     }
 
     fn free(&self) -> bool {
-        let s = self.stock.borrow();
+        let s = self.session.borrow();
         s.phase == Phase::Idle && !s.busy
     }
 }
 
-impl Drop for Guest {
+impl Drop for CallerSession {
     fn drop(&mut self) {
-        if let Some(t) = self.stock.borrow_mut().trans.take() {
+        if let Some(t) = self.session.borrow_mut().trans.take() {
             let works = self.works.clone();
             self.works.env.spawn(async move { works.undo(t).await }).detach();
         }
@@ -85,56 +85,56 @@
 
 impl Works {
     /// Answers one statement of a session.
-    async fn hear(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: Said) -> Told {
-        let phase = stock.borrow().phase;
+    async fn hear(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>, said: Said) -> Told {
+        let phase = session.borrow().phase;
         let out = |kind| told(Err(Fail::no(kind)), None);
         if phase == Phase::Failed {
-            let ended = std::mem::take(&mut stock.borrow_mut().ended);
+            let ended = std::mem::take(&mut session.borrow_mut().ended);
             return match said.act {
-                Act::Rollback => self.end(stock, Ok(())),
-                Act::Commit => self.end(stock, Err(Fail::no(Kind::Lost))),
+                Act::Rollback => self.end(session, Ok(())),
+                Act::Commit => self.end(session, Err(Fail::no(Kind::Lost))),
                 _ if ended => out(Kind::Lost),
                 _ => out(Kind::Order),
             };
         }
         match said.act {
             Act::Set | Act::Prepare { .. } | Act::Drop => {
-                let out = stock.borrow_mut().keep(&said);
+                let out = session.borrow_mut().keep(&said);
                 match out {
                     Ok(()) => done(),
-                    Err(kind) => self.fail(stock, Fail::no(kind)),
+                    Err(kind) => self.fail(session, Fail::no(kind)),
                 }
             }
             Act::Begin { .. } if phase == Phase::Idle => {
-                let mut s = stock.borrow_mut();
+                let mut s = session.borrow_mut();
                 s.phase = Phase::Open;
                 s.begun = Some(said);
                 drop(s);
-                self.rest(stock);
+                self.rest(session);
                 done()
             }
             Act::Read | Act::Write | Act::Use => {
-                let writes = match stock.borrow().writes(&said) {
+                let writes = match session.borrow().writes(&said) {
                     Some(w) => w,
-                    None => return self.fail(stock, Fail::no(Kind::NoName)),
+                    None => return self.fail(session, Fail::no(Kind::NoName)),
                 };
                 if phase == Phase::Open {
-                    return self.within_talk(stock, &said, writes).await;
+                    return self.within_talk(session, &said, writes).await;
                 }
                 match Request::of(said, writes) {
-                    Request::Once(statement) => self.write_talk(stock, statement).await,
-                    Request::Repeatable(statement) => self.read_talk(stock, statement).await,
+                    Request::Once(statement) => self.write_talk(session, statement).await,
+                    Request::Repeatable(statement) => self.read_talk(session, statement).await,
                 }
             }
-            Act::Commit if phase == Phase::Open => self.commit(stock, &said).await,
-            Act::Rollback if phase == Phase::Open => self.end(stock, Ok(())),
-            _ => self.fail(stock, Fail::no(Kind::Order)),
+            Act::Commit if phase == Phase::Open => self.commit(session, &said).await,
+            Act::Rollback if phase == Phase::Open => self.end(session, Ok(())),
+            _ => self.fail(session, Fail::no(Kind::Order)),
         }
     }
 
     /// A failed statement: in a transaction, everything of it is rolled back.
-    pub fn fail(self: &Rc<Self>, stock: &RefCell<Stock>, fail: Fail) -> Told {
-        let mut s = stock.borrow_mut();
+    pub fn fail(self: &Rc<Self>, session: &RefCell<SessionData>, fail: Fail) -> Told {
+        let mut s = session.borrow_mut();
         if s.phase != Phase::Idle {
             s.phase = Phase::Failed;
             s.begun = None;
@@ -148,8 +148,8 @@
     }
 
     /// Ends the transaction without a commit.
-    fn end(self: &Rc<Self>, stock: &RefCell<Stock>, out: Result<(), Fail>) -> Told {
-        let mut s = stock.borrow_mut();
+    fn end(self: &Rc<Self>, session: &RefCell<SessionData>, out: Result<(), Fail>) -> Told {
+        let mut s = session.borrow_mut();
         s.phase = Phase::Idle;
         s.begun = None;
         if let Some(t) = s.trans.take() {
@@ -160,7 +160,7 @@
     }
 }
 
-impl Stock {
+impl SessionData {
     /// Notes a value or a prepared name.
     fn keep(&mut self, said: &Said) -> Result<(), Kind> {
         if self.values.len() + self.names.len() >= STATES {
--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -8,7 +8,7 @@
 };
 use pick::Outcome;
 
-use super::seat::Stock;
+use super::seat::SessionData;
 use crate::{
     decide::Gate,
     gauge::Key,
@@ -18,27 +18,27 @@
 
 /// What a connection has to wear for a statement.
 #[derive(Clone, Default)]
-pub struct Guise {
+pub struct SessionState {
     values: BTreeMap<String, String>,
     prepared: Option<(bool, String)>,
 }
 
-impl Guise {
+impl SessionState {
     /// As the session stands.
-    pub fn of(stock: &Stock, said: &Said) -> Self {
-        Self { values: stock.values.clone(), prepared: stock.prepared(said) }
+    pub fn of(session: &SessionData, said: &Said) -> Self {
+        Self { values: session.values.clone(), prepared: session.prepared(said) }
     }
 }
 
 /// Why a send brought no answer that can be used.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Miss {
+pub enum SendError {
     /// Nothing of it was run.
-    Unrun(Kind),
+    NotRun(Kind),
     /// It was run and failed.
     Failed(Kind),
     /// It may have been run.
-    Unsure,
+    Unknown,
 }
 
 /// Why sending a statement that may take effect brought no answer that can be used. Only where it surely was not run does
@@ -49,15 +49,15 @@
     /// It was run and failed.
     Failed(Kind),
     /// It may have been run.
-    Unsure,
+    Unknown,
 }
 
-impl From<OnceError> for Miss {
+impl From<OnceError> for SendError {
     fn from(error: OnceError) -> Self {
         match error {
-            OnceError::NotRun(kind, _) => Miss::Unrun(kind),
-            OnceError::Failed(kind) => Miss::Failed(kind),
-            OnceError::Unsure => Miss::Unsure,
+            OnceError::NotRun(kind, _) => SendError::NotRun(kind),
+            OnceError::Failed(kind) => SendError::Failed(kind),
+            OnceError::Unknown => SendError::Unknown,
         }
     }
 }
@@ -69,11 +69,11 @@
         slot: &mut Slot,
         key: &Key,
         statement: &Repeatable,
-        guise: &Guise,
+        state: &SessionState,
         after: Option<Position>,
         due: Duration,
-    ) -> Result<Reply, Miss> {
-        self.utter(slot, key, statement.said(), guise, after, due).await
+    ) -> Result<Reply, SendError> {
+        self.send_statement(slot, key, statement.said(), state, after, due).await
     }
 
     /// Sends a statement that may take effect, and takes it away.
@@ -82,37 +82,37 @@
         slot: &mut Slot,
         key: &Key,
         statement: Once,
-        guise: &Guise,
+        state: &SessionState,
         due: Duration,
     ) -> Result<Reply, OnceError> {
-        match self.utter(slot, key, statement.said(), guise, None, due).await {
+        match self.send_statement(slot, key, statement.said(), state, None, due).await {
             Ok(reply) => Ok(reply),
-            Err(Miss::Unrun(kind)) => Err(OnceError::NotRun(kind, statement)),
-            Err(Miss::Failed(kind)) => Err(OnceError::Failed(kind)),
-            Err(Miss::Unsure) => Err(OnceError::Unsure),
+            Err(SendError::NotRun(kind)) => Err(OnceError::NotRun(kind, statement)),
+            Err(SendError::Failed(kind)) => Err(OnceError::Failed(kind)),
+            Err(SendError::Unknown) => Err(OnceError::Unknown),
         }
     }
 
     /// Says one statement to a server on a connection that wears what it must; notes how it went. Private to this file:
     /// others send what may be repeated and what may not in the two ways above.
-    async fn utter(
+    async fn send_statement(
         &self,
         slot: &mut Slot,
         key: &Key,
         said: &Said,
-        guise: &Guise,
+        state: &SessionState,
         after: Option<Position>,
         due: Duration,
-    ) -> Result<Reply, Miss> {
+    ) -> Result<Reply, SendError> {
         let server = slot.server().to_string();
         let asked = self.env.now();
         self.gauges.sent(&server);
-        let prepared = guise.prepared.as_ref().map(|(w, t)| (t.as_str(), *w));
+        let prepared = state.prepared.as_ref().map(|(w, t)| (t.as_str(), *w));
         let plain = BTreeMap::new();
-        let values = if self.decider.tricks.no_wipe { &plain } else { &guise.values };
-        let name = slot.wear(values, prepared, due).await.map_err(|_| {
+        let values = if self.decider.tricks.no_wipe { &plain } else { &state.values };
+        let name = slot.apply_session(values, prepared, due).await.map_err(|_| {
             self.gauges.record(key, &server, Outcome::Error, self.env.now() - asked);
-            Miss::Unrun(Kind::NoServer)
+            SendError::NotRun(Kind::NoServer)
         })?;
         let renamed;
         let said = if name.is_empty() {
@@ -127,21 +127,25 @@
             Ok(r) => r,
             Err(fault) => {
                 self.gauges.record(key, &server, Outcome::Error, took);
-                return Err(if fault == Fault::Unsent { Miss::Unrun(Kind::NoServer) } else { Miss::Unsure });
+                return Err(if fault == Fault::Unsent {
+                    SendError::NotRun(Kind::NoServer)
+                } else {
+                    SendError::Unknown
+                });
             }
         };
         self.gauges.answered(&server, asked, reply.place);
         let (end, miss) = match &reply.verdict {
             Verdict::Done(_) => (Outcome::Good, None),
-            Verdict::Refused(Refused::Busy) => (Outcome::Throttled, Some(Miss::Unrun(Kind::Full))),
-            Verdict::Refused(Refused::Behind) => (Outcome::Good, Some(Miss::Unrun(Kind::NoServer))),
-            Verdict::Refused(Refused::Follows) => (Outcome::Good, Some(Miss::Unrun(Kind::NoLeader))),
+            Verdict::Refused(Refused::Busy) => (Outcome::Throttled, Some(SendError::NotRun(Kind::Full))),
+            Verdict::Refused(Refused::Behind) => (Outcome::Good, Some(SendError::NotRun(Kind::NoServer))),
+            Verdict::Refused(Refused::Follows) => (Outcome::Good, Some(SendError::NotRun(Kind::NoLeader))),
             Verdict::Refused(Refused::Other | Refused::Nameless) => {
                 slot.spoil();
-                (Outcome::Error, Some(Miss::Unrun(Kind::NoServer)))
+                (Outcome::Error, Some(SendError::NotRun(Kind::NoServer)))
             }
-            Verdict::Failed => (Outcome::Error, Some(Miss::Failed(Kind::Failed))),
-            Verdict::Expired => (Outcome::Error, Some(Miss::Failed(Kind::Due))),
+            Verdict::Failed => (Outcome::Error, Some(SendError::Failed(Kind::Failed))),
+            Verdict::Expired => (Outcome::Error, Some(SendError::Failed(Kind::Due))),
         };
         self.gauges.record(key, &server, end, took);
         miss.map_or(Ok(reply), Err)
--- a/spoke/src/talk/trans.rs
+++ b/spoke/src/talk/trans.rs
@@ -10,8 +10,8 @@
 
 use super::{
     read::floor,
-    seat::{Stock, told},
-    send::{Guise, Miss, OnceError},
+    seat::{SessionData, told},
+    send::{OnceError, SendError, SessionState},
 };
 use crate::{
     decide::{Basis, Gate, Order},
@@ -40,15 +40,15 @@
     }
 
     /// Ends the transaction if nothing comes within the operator's limit.
-    pub(super) fn rest(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>) {
+    pub(super) fn rest(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>) {
         let (_, idle) = self.decider.limit();
-        let (me, weak) = (self.clone(), Rc::downgrade(stock));
-        let Some(t) = &mut stock.borrow_mut().trans else { return };
+        let (me, weak) = (self.clone(), Rc::downgrade(session));
+        let Some(t) = &mut session.borrow_mut().trans else { return };
         t.idle = Some(self.env.spawn(async move {
             me.env.sleep(idle).await;
-            let Some(stock) = weak.upgrade() else { return };
+            let Some(session) = weak.upgrade() else { return };
             let t = {
-                let mut s = stock.borrow_mut();
+                let mut s = session.borrow_mut();
                 s.phase = Phase::Failed;
                 s.ended = true;
                 s.begun = None;
@@ -65,9 +65,14 @@
     }
 
     /// A statement of an open transaction; the first one opens it at a server.
-    pub(super) async fn within_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: &Said, writes: bool) -> Told {
-        let held = stock.borrow_mut().trans.take();
-        let guise = Guise::of(&stock.borrow(), said);
+    pub(super) async fn within_talk(
+        self: &Rc<Self>,
+        session: &Rc<RefCell<SessionData>>,
+        said: &Said,
+        writes: bool,
+    ) -> Told {
+        let held = session.borrow_mut().trans.take();
+        let state = SessionState::of(&session.borrow(), said);
         let (mut t, due) = match held {
             Some(mut t) => {
                 t.idle = None;
@@ -76,15 +81,15 @@
                 (t, due)
             }
             None => {
-                let begun = stock.borrow().begun.clone();
-                let Some(begun) = begun else { return self.fail(stock, Fail::no(Kind::Order)) };
-                return self.first(stock, &begun, said, writes, &guise).await;
+                let begun = session.borrow().begun.clone();
+                let Some(begun) = begun else { return self.fail(session, Fail::no(Kind::Order)) };
+                return self.first(session, &begun, said, writes, &state).await;
             }
         };
         t.wrote |= writes;
         let due = self.soon(&t.gate, due);
-        let out = self.send_once(&mut t.slot, &t.key, Once::new(said.clone()), &guise, due).await;
-        self.within_end(stock, t, out.map_err(Miss::from))
+        let out = self.send_once(&mut t.slot, &t.key, Once::new(said.clone()), &state, due).await;
+        self.within_end(session, t, out.map_err(SendError::from))
     }
 
     /// When an answer inside a transaction is given up on. Nothing of it is kept before its commit, so its caller may
@@ -93,19 +98,24 @@
         gate.aim.map_or(due, |a| due.min(self.env.now() + a * 2))
     }
 
-    fn within_end(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, t: Trans, out: Result<base::talk::Reply, Miss>) -> Told {
+    fn within_end(
+        self: &Rc<Self>,
+        session: &Rc<RefCell<SessionData>>,
+        t: Trans,
+        out: Result<base::talk::Reply, SendError>,
+    ) -> Told {
         match out {
             Ok(reply) => {
-                let Verdict::Done(mark) = reply.verdict else { return self.fail(stock, Fail::no(Kind::Lost)) };
-                stock.borrow_mut().trans = Some(t);
-                self.rest(stock);
+                let Verdict::Done(mark) = reply.verdict else { return self.fail(session, Fail::no(Kind::Lost)) };
+                session.borrow_mut().trans = Some(t);
+                self.rest(session);
                 Told { rows: reply.rows, ..told(Ok(mark), reply.place) }
             }
             Err(_) => {
                 // Its commit was never sent: whatever became of this statement, nothing of the transaction is kept.
-                stock.borrow_mut().trans = Some(t);
+                session.borrow_mut().trans = Some(t);
                 bump(&self.tally.refused);
-                self.fail(stock, Fail::no(Kind::Lost))
+                self.fail(session, Fail::no(Kind::Lost))
             }
         }
     }
@@ -113,48 +123,50 @@
     /// Opens the transaction and says its first statement; both again elsewhere while that was surely not run.
     async fn first(
         self: &Rc<Self>,
-        stock: &Rc<RefCell<Stock>>,
+        session: &Rc<RefCell<SessionData>>,
         begun: &Said,
         said: &Said,
         writes: bool,
-        guise: &Guise,
+        state: &SessionState,
     ) -> Told {
-        let name = stock.borrow().name.clone();
+        let name = session.borrow().name.clone();
         let gate = match self.decider.gate(&name) {
             Ok(g) => g,
-            Err(k) => return self.fail(stock, Fail::no(k)),
+            Err(k) => return self.fail(session, Fail::no(k)),
         };
         let (most, patience) = self.spans(&gate);
         let start = self.env.now();
         if let Err(k) = self.admitted(start + patience).await {
             bump(&self.tally.refused);
-            return self.fail(stock, Fail::no(k));
+            return self.fail(session, Fail::no(k));
         }
         let due = start + most;
         let key = self.gauges.key(&name, "");
         let mut tried = Vec::new();
         let mut statement = Once::new(said.clone());
         loop {
-            let opened = self.open_trans(stock, &gate, &key, begun, due, &mut tried).await;
+            let opened = self.open_trans(session, &gate, &key, begun, due, &mut tried).await;
             let kind = match opened {
                 Err(k) => k,
                 Ok(slot) => {
                     let mut t = Trans { slot, key: key.clone(), gate: gate.clone(), wrote: writes, idle: None };
-                    let out = self.send_once(&mut t.slot, &key, statement, guise, self.soon(&gate, due)).await;
+                    let out = self.send_once(&mut t.slot, &key, statement, state, self.soon(&gate, due)).await;
                     match out {
                         Err(OnceError::NotRun(k, back)) if said.act != Act::Commit => {
                             statement = back;
                             self.undo(t).await;
                             k
                         }
-                        out if said.act == Act::Commit => return self.commit_end(stock, t, out.map_err(Miss::from)),
-                        out => return self.within_end(stock, t, out.map_err(Miss::from)),
+                        out if said.act == Act::Commit => {
+                            return self.commit_end(session, t, out.map_err(SendError::from));
+                        }
+                        out => return self.within_end(session, t, out.map_err(SendError::from)),
                     }
                 }
             };
             if self.env.now() >= start + patience {
                 bump(&self.tally.refused);
-                return self.fail(stock, Fail::no(kind));
+                return self.fail(session, Fail::no(kind));
             }
             bump(&self.tally.retried);
             self.pause().await;
@@ -165,7 +177,7 @@
     /// where a read may go.
     async fn open_trans(
         &self,
-        stock: &Rc<RefCell<Stock>>,
+        session: &Rc<RefCell<SessionData>>,
         gate: &Gate,
         key: &Key,
         begun: &Said,
@@ -173,7 +185,7 @@
         tried: &mut Vec<String>,
     ) -> Result<Slot, Kind> {
         let reads = begun.act == Act::Begin { reads: true };
-        let own = stock.borrow().own;
+        let own = session.borrow().own;
         let (mut slot, target) = if reads && gate.promise != Promise::Leader {
             let target = match self.decider.spot(gate, key, own, tried) {
                 Order::Send(t) => t,
@@ -193,11 +205,11 @@
         } else {
             self.lead_slot(&gate.group, due).await?
         };
-        let guise = Guise::of(&stock.borrow(), begun);
+        let state = SessionState::of(&session.borrow(), begun);
         let opening = Repeatable::opening(begun).ok_or(Kind::Order)?;
-        match self.send_repeatable(&mut slot, key, &opening, &guise, floor(&target), due).await {
+        match self.send_repeatable(&mut slot, key, &opening, &state, floor(&target), due).await {
             Ok(_) => Ok(slot),
-            Err(Miss::Unrun(k)) => {
+            Err(SendError::NotRun(k)) => {
                 slot.spoil();
                 Err(k)
             }
@@ -209,34 +221,34 @@
     }
 
     /// Commits; only a server's own word makes it a success.
-    pub(super) async fn commit(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, said: &Said) -> Told {
-        let held = stock.borrow_mut().trans.take();
+    pub(super) async fn commit(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>, said: &Said) -> Told {
+        let held = session.borrow_mut().trans.take();
         let Some(mut t) = held else {
             // Nothing was said in it; even so the answer has to be a server's.
-            let begun = stock.borrow().begun.clone();
-            let Some(begun) = begun else { return self.fail(stock, Fail::no(Kind::Order)) };
-            let guise = Guise::of(&stock.borrow(), said);
-            let out = self.first(stock, &begun, said, false, &guise).await;
+            let begun = session.borrow().begun.clone();
+            let Some(begun) = begun else { return self.fail(session, Fail::no(Kind::Order)) };
+            let state = SessionState::of(&session.borrow(), said);
+            let out = self.first(session, &begun, said, false, &state).await;
             if out.end.is_err() {
-                stock.borrow_mut().phase = Phase::Idle;
+                session.borrow_mut().phase = Phase::Idle;
             }
             return out;
         };
         t.idle = None;
         let (most, _) = self.spans(&t.gate);
         let due = self.env.now() + most;
-        let guise = Guise::of(&stock.borrow(), said);
-        let out = self.send_once(&mut t.slot, &t.key, Once::new(said.clone()), &guise, due).await;
-        self.commit_end(stock, t, out.map_err(Miss::from))
+        let state = SessionState::of(&session.borrow(), said);
+        let out = self.send_once(&mut t.slot, &t.key, Once::new(said.clone()), &state, due).await;
+        self.commit_end(session, t, out.map_err(SendError::from))
     }
 
     fn commit_end(
         self: &Rc<Self>,
-        stock: &Rc<RefCell<Stock>>,
+        session: &Rc<RefCell<SessionData>>,
         mut t: Trans,
-        out: Result<base::talk::Reply, Miss>,
+        out: Result<base::talk::Reply, SendError>,
     ) -> Told {
-        let mut s = stock.borrow_mut();
+        let mut s = session.borrow_mut();
         s.phase = Phase::Idle;
         s.begun = None;
         match out {
@@ -253,7 +265,7 @@
             Err(miss) => {
                 t.slot.spoil();
                 // What wrote nothing has nothing that could be kept.
-                let certain = !t.wrote || matches!(miss, Miss::Unrun(_));
+                let certain = !t.wrote || matches!(miss, SendError::NotRun(_));
                 bump(if certain { &self.tally.refused } else { &self.tally.unknown });
                 let kind = if certain { Kind::Lost } else { Kind::Unknown };
                 let kept = if certain { Kept::No } else { Kept::Unknown };
--- a/spoke/src/talk/write.rs
+++ b/spoke/src/talk/write.rs
@@ -6,8 +6,8 @@
 };
 
 use super::{
-    seat::{Stock, told},
-    send::{Guise, OnceError},
+    seat::{SessionData, told},
+    send::{OnceError, SessionState},
 };
 use crate::{
     decide::Target,
@@ -18,24 +18,24 @@
 impl Works {
     /// A single write. It is sent again only where it surely was not run; once its bytes may have left and no answer came,
     /// what became of it can't be told.
-    pub(super) async fn write_talk(self: &Rc<Self>, stock: &Rc<RefCell<Stock>>, mut statement: Once) -> Told {
+    pub(super) async fn write_talk(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>, mut statement: Once) -> Told {
         bump(&self.tally.writes);
-        let name = stock.borrow().name.clone();
+        let name = session.borrow().name.clone();
         let no = |kind: Kind| told(Err(Fail::no(kind)), None);
         let (gate, key, due, last) = match self.entry(&name).await {
             Ok(e) => e,
             Err(k) => return no(k),
         };
-        let guise = Guise::of(&stock.borrow(), statement.said());
+        let state = SessionState::of(&session.borrow(), statement.said());
         let copy = self.decider.tricks.resend.then(|| statement.said().clone());
         loop {
             let kind = match self.lead_slot(&gate.group, due).await {
                 Err(k) => k,
-                Ok((mut slot, _)) => match self.send_once(&mut slot, &key, statement, &guise, due).await {
+                Ok((mut slot, _)) => match self.send_once(&mut slot, &key, statement, &state, due).await {
                     Ok(reply) => {
                         let Verdict::Done(mark) = reply.verdict else { return no(Kind::Failed) };
                         if let Some(p) = reply.place {
-                            let mut s = stock.borrow_mut();
+                            let mut s = session.borrow_mut();
                             s.own = s.own.max(p);
                         }
                         return Told { rows: reply.rows, ..told(Ok(mark), reply.place) };
@@ -45,9 +45,9 @@
                         k
                     }
                     Err(OnceError::Failed(k)) => return told(Err(Fail::unsure(k)), None),
-                    Err(OnceError::Unsure) => {
+                    Err(OnceError::Unknown) => {
                         if let Some(said) = copy {
-                            return Box::pin(self.write_talk(stock, Once::new(said))).await;
+                            return Box::pin(self.write_talk(session, Once::new(said))).await;
                         }
                         bump(&self.tally.unknown);
                         return told(Err(Fail::unsure(Kind::Unknown)), None);
