--- a/hub/src/ground.rs
+++ b/hub/src/ground.rs
@@ -11,7 +11,7 @@
 };
 use platform::Given;
 
-use crate::{Hub, Tricks, operator::MOST_ORDERS, run_in, store::Fault};
+use crate::{Hub, Tricks, entrance::Entrance, operator::MOST_ORDERS, run_in, store::Fault};
 
 /// A hub that answers servers and operators in the users' manner.
 pub struct Ground {
@@ -30,13 +30,14 @@
         let mut tree = Tree::new(env);
         if let Some(addr) = given.control {
             let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(addr).await?)));
-            let relay = hub.relay.clone();
+            let (relay, agree) = (hub.relay.clone(), hub.agree.clone());
+            let entrance = Rc::new(Entrance { env: env.clone(), bounds: place.bounds.clone(), relay, agree });
             let orders = Permits::new(MOST_ORDERS);
             let make = Rc::new(move || {
-                let relay = relay.clone();
+                let entrance = entrance.clone();
                 let pass: platform::Pass = Rc::new(move |ask| {
-                    let relay = relay.clone();
-                    Box::pin(async move { relay.pass(ask).await })
+                    let entrance = entrance.clone();
+                    Box::pin(async move { entrance.pass(ask).await })
                 });
                 Rc::new(platform::Desk { pass, orders: orders.clone() }) as Rc<dyn http::Session>
             });
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -3,6 +3,7 @@
 mod agree;
 mod door;
 mod duty;
+mod entrance;
 mod ground;
 mod operator;
 mod reports;
--- a/kit/tests/checkers.rs
+++ b/kit/tests/checkers.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use kit::{
-    check, check_words,
+    check,
+    check_orders::{self, Attempt, Heard, History, Order, Read},
+    check_words,
     load::{Emptied, End, Event, Kind, Sent, Sight, Words},
     server::{Entry, Op},
 };
@@ -140,3 +142,55 @@
     assert!(judge_words(vec![], vec![], emptied(), &at(4999)).is_empty());
     assert!(judge_words(vec![], vec![], emptied(), &at(9001)).is_empty());
 }
+
+fn order(mark: &str, after: u64, number: u64) -> Order {
+    Order { mark: mark.into(), after, number }
+}
+
+fn attempt(order: &Order, call: u64, done: u64, heard: Heard) -> Attempt {
+    Attempt { order: order.clone(), call: ms(call), done: ms(done), heard }
+}
+
+fn read_back(order: &Order, call: u64, done: u64) -> Read {
+    Read { number: order.number, mark: order.mark.clone(), call: ms(call), done: ms(done) }
+}
+
+fn judge_orders(attempts: &[Attempt], reads: &[Read]) -> Vec<String> {
+    check_orders::orders(&History { attempts: attempts.to_vec(), reads: reads.to_vec() }, (3, ""))
+}
+
+#[test]
+fn histories_of_orders_that_were_forged_are_rejected() {
+    use Heard::{Nothing, Refused, Taken};
+    let (a, b, on_a) = (order("a", 3, 5), order("b", 3, 6), order("on a", 5, 8));
+    let told = |words: &str, attempts: &[Attempt], reads: &[Read]| {
+        let found = judge_orders(attempts, reads);
+        assert!(found.iter().any(|f| f.contains(words)), "{words}: {found:?}");
+    };
+    let fine = |attempts: &[Attempt], reads: &[Read]| assert_eq!(judge_orders(attempts, reads), Vec::<String>::new());
+    let a_taken = attempt(&a, 0, 10, Taken);
+    // Two on one version, with different numbers and with the same.
+    told("had replaced", &[a_taken.clone(), attempt(&b, 0, 10, Taken)], &[]);
+    told("both taken as 5", &[a_taken.clone(), attempt(&order("c", 3, 5), 0, 10, Taken)], &[]);
+    fine(&[a_taken.clone(), attempt(&b, 0, 10, Refused)], &[]);
+    // Refused after it was taken, and before; left without an answer, and acknowledged again.
+    told("was taken, and refused", &[a_taken.clone(), attempt(&a, 20, 30, Refused)], &[]);
+    told("was taken, and refused", &[attempt(&a, 0, 10, Refused), attempt(&a, 20, 30, Taken)], &[]);
+    told("was taken, and refused", &[attempt(&a, 0, 10, Refused)], &[read_back(&a, 20, 30)]);
+    fine(&[attempt(&a, 0, 10, Nothing), attempt(&a, 20, 30, Taken), attempt(&a, 40, 50, Taken)], &[]);
+    // A read-back that misses what was acknowledged before it began, and one that overlaps.
+    let start = Read { number: 3, mark: String::new(), call: ms(11), done: ms(15) };
+    told("must have come", std::slice::from_ref(&a_taken), std::slice::from_ref(&start));
+    fine(std::slice::from_ref(&a_taken), &[Read { call: ms(9), ..start.clone() }]);
+    // Back to the older version.
+    told("must have come", &[attempt(&a, 0, 100, Taken)], &[read_back(&a, 10, 20), start.clone(), Read { call: ms(30), done: ms(40), ..start.clone() }]);
+    // Taken before what it builds on was sent; read back though nobody sent it, and under another's number.
+    told("must have come", &[attempt(&on_a, 0, 10, Taken), attempt(&a, 20, 30, Taken)], &[]);
+    told("which nobody sent", &[attempt(&on_a, 0, 10, Taken)], &[]);
+    told("nobody sent it", &[], &[read_back(&a, 0, 10)]);
+    told("was read back as 6", std::slice::from_ref(&a_taken), &[Read { number: 6, ..read_back(&a, 20, 30) }]);
+    told("on top of 5", &[a_taken.clone(), attempt(&order("d", 5, 4), 20, 30, Taken)], &[]);
+    // Refused though nothing stood against it, and with a rival under way.
+    told("was in force", &[a_taken.clone(), attempt(&on_a, 20, 30, Refused)], &[]);
+    fine(&[a_taken, attempt(&on_a, 20, 30, Refused), attempt(&order("e", 5, 9), 25, 40, Nothing)], &[]);
+}
--- a/kit/tests/orders.rs
+++ b/kit/tests/orders.rs
@@ -263,10 +263,9 @@
     for (how, zones) in [("leave", true), ("kill", true), ("leave", false), ("kill", false)] {
         for seed in 1..=10 {
             let [first, again] = evacuation_after(seed, zones, how);
-            println!("EVAC {how} {zones} {seed} {first:?} {again:?}");
-            assert_eq!((first.0, again.0), (200, 200), "seed {seed} {how}");
-            let most = if how == "leave" { ms(1000) } else { ms(2000) };
-            if false { assert!(first.1 <= most, "seed {seed} {how}: {first:?}"); }
+                        assert_eq!((first.0, again.0), (200, 200), "seed {seed} {how}");
+            let most = ms(1000);
+            assert!(first.1 <= most, "seed {seed} {how}: {first:?}");
         }
     }
 }
@@ -352,8 +351,7 @@
 fn hundreds_of_orders_at_once_get_clear_answers_and_leave_nothing_behind() {
     let hall = Hall::new(6, small());
     hall.settle();
-    let (env, nodes, plans) = (hall.desk(), hall.control(), hall.plans(Duration::ZERO));
-    let hub = ["h0", "h1", "h2"].into_iter().position(|h| leads(&hall, h)).expect("one leads");
+    let (env, nodes) = (hall.desk(), hall.control());
     let h = hall.clone();
     at_desk(&hall, secs(600), async move {
         for round in 0..5 {
@@ -365,19 +363,26 @@
             let after = read_back(&env, nodes[0], secs(1)).await.expect("a configuration");
             assert!(after.number > base.number, "one of them was taken");
         }
-        let base = read_back(&env, nodes[0], secs(1)).await.expect("a configuration").number;
-        // The leading hub is cut off: what it can't settle is held in bounded number, the rest refused at once.
-        let zones = kit::sim::AREAS;
-        for other in (0..3).filter(|o| *o != hub) {
-            h.act(zones[hub], &format!("part>{}", zones[other]));
-        }
-        let out = crowd(&h, nodes[hub], base, "cut").await;
+    });
+}
+
+/// What a leading hub that is cut off can't settle is held in bounded number, and the rest is refused at once.
+#[test]
+fn a_hub_that_is_cut_off_gives_no_verdict_on_a_crowd_of_orders() {
+    let hall = Hall::new(6, small());
+    hall.settle();
+    let (env, nodes, plans) = (hall.desk(), hall.control(), hall.plans(Duration::ZERO));
+    let hub = ["h0", "h1", "h2"].into_iter().position(|h| leads(&hall, h)).expect("one leads");
+    let others: Vec<&str> = (0..3).filter(|o| *o != hub).map(|o| kit::sim::AREAS[o]).collect();
+    let zone = kit::sim::AREAS[hub];
+    let h = hall.clone();
+    at_desk(&hall, secs(600), async move {
+        others.iter().for_each(|other| h.act(zone, &format!("part>{other}")));
+        let out = crowd(&h, nodes[hub], 3, "cut").await;
+        assert!(out.iter().all(|o| o.0.is_none_or(|a| a.0 == 503)), "{out:?}");
         let at_once = |o: &&(Option<(u16, Option<u64>)>, Duration)| o.1 < ms(200) && o.0 == Some((503, Some(1)));
         assert!(out.iter().filter(at_once).count() >= 200, "{out:?}");
-        assert!(out.iter().all(|o| o.0.is_none_or(|a| a.0 == 503)), "{out:?}");
-        for other in (0..3).filter(|o| *o != hub) {
-            h.act(zones[hub], &format!("heal>{}", zones[other]));
-        }
+        others.iter().for_each(|other| h.act(zone, &format!("heal>{other}")));
         env.sleep(secs(4)).await;
         let base = read_back(&env, nodes[hub], secs(1)).await.expect("a configuration").number;
         let last = Order::patch(&plans, base, base + 10, "last");
