--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -23,6 +23,7 @@
     edge::backend::Report,
     permits::Permits,
     seam::{Env, Part},
+    settings::Place,
     talk::Manner,
 };
 use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
@@ -78,18 +79,16 @@
         env: &Env,
         agree: Rc<Agree>,
         relay: Rc<Relay>,
-        bounds: Bounds,
-        platform: Option<SocketAddr>,
+        place: &Place,
         manner: Option<Rc<dyn Manner>>,
-        listed_zones: Vec<String>,
         tricks: Tricks,
     ) -> Rc<Self> {
         let me = Rc::new(Self {
             env: env.clone(),
             agree,
             relay,
-            bounds,
-            platform: Cell::new(platform),
+            bounds: place.bounds.clone(),
+            platform: Cell::new(place.platform),
             manner,
             talks: RefCell::default(),
             servers: RefCell::default(),
@@ -105,7 +104,7 @@
             count: Cell::new(0),
             urgent: Cell::default(),
             orders: Permits::new(operator::MOST_ORDERS),
-            listed_zones,
+            listed_zones: place.zones.clone(),
             bell: Bell::default(),
             tricks,
         });
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -5,7 +5,7 @@
 mod duty;
 mod entrance;
 mod ground;
-mod operator;
+pub mod operator;
 mod reports;
 pub mod rescue;
 pub mod run;
--- a/hub/src/operator/mod.rs
+++ b/hub/src/operator/mod.rs
@@ -5,7 +5,7 @@
 
 mod apply;
 mod evacuation;
-mod identity;
+pub mod identity;
 mod order;
 
 use std::rc::Rc;
--- a/hub/src/operator/order.rs
+++ b/hub/src/operator/order.rs
@@ -50,10 +50,13 @@
                 self.publish();
                 Ok(answer(&image))
             }
-            Err(Kind::Invalid) => match verdict.borrow_mut().take().filter(|_| self.tricks.early_verdict) {
-                Some(ret) => Err(ret),
-                None => self.confirmed_verdict(&*make).await,
-            },
+            Err(Kind::Invalid) => {
+                let early = verdict.take().filter(|_| self.tricks.early_verdict);
+                match early {
+                    Some(ret) => Err(ret),
+                    None => self.confirmed_verdict(&*make).await,
+                }
+            }
             Err(kind) => Err(refuse(kind, "", None)),
         }
     }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -157,16 +157,7 @@
     let (agree, inbox) = Agree::new(env, who.clone(), place.bounds.clone(), place.losses * 2 + 1, kept, loose);
     let relay = Relay::new(env, who.clone(), place.bounds.clone());
     let root = Rc::new(Root { agree: agree.clone(), duty: Default::default(), env: env.clone() });
-    let duty = Duty::new(
-        env,
-        agree.clone(),
-        relay.clone(),
-        place.bounds.clone(),
-        place.platform,
-        manner,
-        place.zones.clone(),
-        tricks,
-    );
+    let duty = Duty::new(env, agree.clone(), relay.clone(), place, manner, tricks);
     *root.duty.borrow_mut() = Some(duty.clone());
     relay.lead(root);
     let door = Door::new(place.most_sessions, place.most_body);
--- /dev/null
+++ b/hub/tests/orders.rs
@@ -0,0 +1,56 @@
+//! The memory of orders that were taken: its identity, its bound, its size, and the form of builds before it.
+
+use hub::operator::identity::{Identity, Memory, RECORD_BYTES, REMEMBERED};
+use prost::Message;
+use wire::{Image, Taken};
+
+fn order(after: u64, number: u64, body: &str) -> Identity {
+    Identity::new("PUT", Some(after), number, body.as_bytes())
+}
+
+#[test]
+fn an_order_is_told_by_method_base_number_and_body() {
+    let mut image = Image::default();
+    order(3, 5, "a").remember(&mut image);
+    assert_eq!(image.number, 5);
+    assert_eq!(order(3, 5, "a").recall(&image, Some(3)), Memory::Taken);
+    let patch = Identity::new("PATCH", Some(3), 5, b"a");
+    let none = Identity::new("PUT", None, 5, b"a");
+    for other in [order(3, 5, "b"), order(4, 5, "a"), order(3, 6, "a"), patch, none] {
+        assert_eq!(other.recall(&image, Some(3)), Memory::New, "{other:?}");
+    }
+}
+
+#[test]
+fn the_memory_is_bounded_and_knows_how_far_it_reaches() {
+    let mut image = Image::default();
+    for n in 1..=REMEMBERED as u64 + 10 {
+        order(n * 2 - 2, n * 2, "a").remember(&mut image);
+    }
+    assert_eq!(image.orders.len(), REMEMBERED * RECORD_BYTES);
+    assert_eq!(image.orders.len(), 12_288);
+    assert_eq!(image.forgotten, 20);
+    assert_eq!(order(18, 20, "a").recall(&image, Some(18)), Memory::Forgotten);
+    assert_eq!(order(20, 22, "a").recall(&image, Some(20)), Memory::Taken);
+    // Its number is not above what it builds on: it was never taken.
+    assert_eq!(order(20, 20, "a").recall(&image, Some(20)), Memory::New);
+    assert_eq!(order(20, 21, "a").recall(&image, Some(20)), Memory::New);
+    let news = image.without_orders();
+    assert!(news.encoded_len() < 16, "the memory stays with the control nodes");
+}
+
+#[test]
+fn records_of_the_form_of_old_are_read_and_give_way_first() {
+    let body = b"old";
+    let sum = u64::from(crc32fast::hash(body)) << 32 | body.len() as u64;
+    let old = Image { number: 7, taken: vec![Taken { number: 7, sum }], ..Image::default() };
+    let mut image = Image::decode(&*old.encode_to_vec()).unwrap();
+    let again = Identity::new("PUT", Some(3), 7, body);
+    assert_eq!(again.recall(&image, Some(3)), Memory::Taken);
+    for n in 0..REMEMBERED as u64 - 1 {
+        order(7 + n, 8 + n, "a").remember(&mut image);
+    }
+    assert_eq!(again.recall(&image, Some(3)), Memory::Taken);
+    order(600, 601, "a").remember(&mut image);
+    assert_eq!((again.recall(&image, Some(3)), image.forgotten), (Memory::Forgotten, 7));
+}
--- a/kit/src/check_orders.rs
+++ b/kit/src/check_orders.rs
@@ -127,12 +127,12 @@
 
 /// Narrows when each version can have come, by all that was seen.
 fn bound(history: &History, chain: &mut [Version]) {
-    for i in 1..chain.len() {
-        let all: Vec<&Attempt> = history.attempts.iter().filter(|a| a.order.mark == chain[i].mark).collect();
+    for version in chain.iter_mut().skip(1) {
+        let all: Vec<&Attempt> = history.attempts.iter().filter(|a| a.order.mark == version.mark).collect();
         let first = all.iter().map(|a| a.call).min().unwrap_or_default();
         let told = all.iter().filter(|a| a.heard == Heard::Taken).map(|a| a.done).min();
-        chain[i].earliest = first;
-        chain[i].latest = told.unwrap_or(Duration::MAX);
+        version.earliest = first;
+        version.latest = told.unwrap_or(Duration::MAX);
     }
     for r in &history.reads {
         let Some(at) = chain.iter().position(|v| v.number == r.number) else { continue };
--- a/kit/tests/orders.rs
+++ b/kit/tests/orders.rs
@@ -255,7 +255,7 @@
 fn leads(hall: &Hall, hub: &str) -> bool {
     let log = hall.sim.log();
     let said = |l: &&kit::sim::Line| l.text.starts_with("leading");
-    log.iter().filter(said).next_back().is_some_and(|l| l.who == hub)
+    log.iter().rfind(said).is_some_and(|l| l.who == hub)
 }
 
 #[test]
