--- a/base/src/settings.rs
+++ b/base/src/settings.rs
@@ -32,6 +32,8 @@
         pub first_start: bool = true,
         /// How many control nodes may be lost at once; one more than twice as many agree.
         pub losses: u64 = 1,
+        /// All zones that operators may name; with none listed, those that servers and nodes tell of.
+        pub zones: Vec<String> = Vec::new(),
     }
 }
 
@@ -104,6 +106,7 @@
     pub keep_on: bool,
     pub first_start: bool,
     pub losses: usize,
+    pub zones: Vec<String>,
 }
 
 /// How many control nodes a settings file names at most; fewer where fewer serve just then.
@@ -114,6 +117,26 @@
     crate::strict::read(text).map_err(|e| e.to_string())
 }
 
+/// How many zones may be listed.
+const MOST_ZONES: usize = 1000;
+
+fn zone_faults(zones: &[String]) -> Vec<String> {
+    let mut bad = Vec::new();
+    if zones.len() > MOST_ZONES {
+        bad.push(format!("zones: {} of at most {MOST_ZONES}", zones.len()));
+    }
+    let mut seen = std::collections::BTreeSet::new();
+    for zone in zones {
+        if zone.is_empty() || zone.len() > 64 {
+            bad.push(format!("zones: {zone:?}: 1 to 64 characters belong here"));
+        }
+        if !seen.insert(zone) {
+            bad.push(format!("zones: {zone:?} is named twice"));
+        }
+    }
+    bad
+}
+
 impl Settings {
     /// Checks every field; the faults name theirs.
     pub fn check(&self) -> Result<Place, Vec<String>> {
@@ -160,6 +183,7 @@
                 bad.push(format!("{field}: 1 to 64 characters belong here"));
             }
         }
+        bad.extend(zone_faults(&self.zones));
         if !(1..=MOST_SEEDS).contains(&seeds.len()) {
             bad.push(format!("seeds: {} addresses, where 1 to {MOST_SEEDS} belong", seeds.len()));
         }
@@ -191,6 +215,7 @@
             keep_on: self.keep_on,
             first_start: self.first_start,
             losses: self.losses as usize,
+            zones: self.zones.clone(),
         })
     }
 }
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -21,12 +21,14 @@
     Bounds,
     bell::Bell,
     edge::backend::Report,
+    permits::Permits,
     seam::{Env, Part},
+    settings::Place,
     talk::Manner,
 };
 use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
 
-use crate::{consensus::Consensus, run::Tricks};
+use crate::{consensus::Consensus, operator, run::Tricks};
 
 pub use lead::Standing;
 use ledger::Ledger;
@@ -62,6 +64,10 @@
     count: Cell<u64>,
     /// Until when servers are read more often, as somebody waits for what is read.
     urgent: Cell<Duration>,
+    /// Orders under way.
+    pub(crate) orders: Permits,
+    /// The zones that the settings list; none where they list none.
+    pub(crate) listed_zones: Vec<String>,
     /// Rung when servers, nodes or grants moved.
     pub bell: Bell,
     pub(crate) tricks: Tricks,
@@ -73,8 +79,7 @@
         env: &Env,
         agree: Rc<Consensus>,
         relay: Rc<Relay>,
-        bounds: Bounds,
-        platform: Option<SocketAddr>,
+        place: &Place,
         manner: Option<Rc<dyn Manner>>,
         tricks: Tricks,
     ) -> Rc<Self> {
@@ -82,8 +87,8 @@
             env: env.clone(),
             agree,
             relay,
-            bounds,
-            platform: Cell::new(platform),
+            bounds: place.bounds.clone(),
+            platform: Cell::new(place.platform),
             manner,
             talks: RefCell::default(),
             servers: RefCell::default(),
@@ -98,6 +103,8 @@
             term: Cell::new(0),
             count: Cell::new(0),
             urgent: Cell::default(),
+            orders: Permits::new(operator::MOST_ORDERS),
+            listed_zones: place.zones.clone(),
             bell: Bell::default(),
             tricks,
         });
@@ -181,7 +188,7 @@
         self.count.set(self.count.get() + 1);
         let news = News {
             mark: Some(self.mark()),
-            image: Some((*image).clone()),
+            image: Some(image.without_orders()),
             servers: self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect(),
             nodes: self.fellows(),
         };
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -3,8 +3,10 @@
 pub mod consensus;
 mod door;
 mod duty;
+mod entrance;
 mod ground;
-mod ops;
+pub mod operator;
+mod reports;
 pub mod rescue;
 pub mod run;
 pub mod store;
