News goes down the tree as deltas, checked by a digest of the whole

Each change sent the whole image, all servers and nodes to every node. Now a parent sends a child what changed between two marks, where the child holds exactly the first; the whole goes to a child that holds another state, or whose delta did not come out as published. What only control nodes need (roster, sets taken before, where servers stood, operators' own forms) is not sent to nodes. A server of which only the count of reports rose is not told again.

A change that was agreed while the lease had lapsed was never published; it goes out now before any beat is answered.

--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -60,6 +60,8 @@
     refused: RefCell<BTreeSet<String>>,
     term: Cell<u64>,
     count: Cell<u64>,
+    /// A change was not published, as the lease had lapsed; it goes out before any node is confirmed again.
+    unpublished: Cell<bool>,
     /// Until when servers are read more often, as somebody waits for what is read.
     urgent: Cell<Duration>,
     /// Rung when servers, nodes or grants moved.
@@ -97,6 +99,7 @@
             refused: RefCell::default(),
             term: Cell::new(0),
             count: Cell::new(0),
+            unpublished: Cell::default(),
             urgent: Cell::default(),
             bell: Bell::default(),
             tricks,
@@ -135,7 +138,10 @@
 
     fn take_over(&self, term: u64) {
         self.term.set(term);
-        self.count.set(0);
+        // Marks rise within a term, whatever was published in it before.
+        let before = self.relay.latest().filter(|news| news.mark.term == term);
+        self.count.set(before.map_or(0, |news| news.mark.count));
+        self.unpublished.set(false);
         let lapse = self.env.now() + self.bounds.lapse();
         *self.ledger.borrow_mut() = match self.agree.heir() {
             Some((at, left)) => Ledger::heir(lapse, at, &left),
@@ -175,7 +181,8 @@
     /// Sends news of the present state down the tree.
     pub fn publish(&self) {
         let Some(image) = self.agree.image() else { return };
-        if !self.agree.leads() {
+        self.unpublished.set(!self.agree.leads());
+        if self.unpublished.get() {
             return;
         }
         self.count.set(self.count.get() + 1);
@@ -260,6 +267,9 @@
             return None;
         }
         let image = self.agree.image()?;
+        if self.unpublished.get() {
+            self.publish();
+        }
         let now = self.env.now();
         {
             let mut seats = self.seats.borrow_mut();
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -10,7 +10,7 @@
     tree::Tree,
 };
 use wire::{
-    Ask, AskReturn, Beat, BeatReturn, Body, Hello, News, Out,
+    Ask, AskReturn, Beat, BeatReturn, Body, Hello, Out, Snapshot,
     relay::{Head, Relay, Who},
 };
 
@@ -84,7 +84,7 @@
 
     fn returned(&self, _ret: BeatReturn, _sent: std::time::Duration) {}
 
-    fn news(&self, _news: &Rc<News>) {}
+    fn news(&self, _news: &Rc<Snapshot>) {}
 
     fn beaten(&self, beat: Beat) -> Option<BeatReturn> {
         self.duty().beaten(beat)
--- a/kit/src/fleet/scale.rs
+++ b/kit/src/fleet/scale.rs
@@ -18,7 +18,7 @@
 };
 use nanoserde::SerJson;
 use wire::{
-    Ask, AskReturn, Beat, BeatReturn, Body, Held, Hello, News, Out, Sight,
+    Ask, AskReturn, Beat, BeatReturn, Body, Held, Hello, Out, Sight, Snapshot,
     relay::{Head, Relay, Who},
 };
 
@@ -103,8 +103,8 @@
         }
     }
 
-    fn news(&self, news: &Rc<News>) {
-        let sequence = news.image.as_ref().map_or(0, |i| i.sequence);
+    fn news(&self, news: &Rc<Snapshot>) {
+        let sequence = news.image.sequence;
         let mut seen = self.seen.borrow_mut();
         if seen.is_none_or(|s| s.0 < sequence) {
             *seen = Some((sequence, Instant::now()));
--- a/spoke/src/door/show.rs
+++ b/spoke/src/door/show.rs
@@ -201,6 +201,7 @@
 
     fn metrics(&self) -> Return {
         let c = self.counts();
+        let news = &self.relay.news_counts;
         let mut out = metrics::page(&[
             ("reads_total", "counter", "reads asked for", c.reads),
             ("writes_total", "counter", "writes asked for outside transactions", c.writes),
@@ -212,6 +213,17 @@
             ("readings_total", "counter", "log positions asked for", c.readings),
             ("corrupt_frames_total", "counter", "links closed on a corrupt frame", c.corrupt),
             ("relayed_frames_total", "counter", "frames handed on for others", c.relayed),
+            ("news_whole_total", "counter", "news that came whole", news.whole.get()),
+            ("news_whole_bytes_total", "counter", "bytes of news that came whole", news.whole_bytes.get()),
+            ("news_deltas_total", "counter", "news that came as a delta", news.deltas.get()),
+            ("news_delta_bytes_total", "counter", "bytes of news that came as deltas", news.delta_bytes.get()),
+            (
+                "news_mismatches_total",
+                "counter",
+                "deltas that did not lead to what was published",
+                news.mismatches.get(),
+            ),
+            ("news_requests_total", "counter", "requests to the parent for the whole news", news.requests.get()),
         ]);
         let mut text = String::from_utf8_lossy(&out.body).into_owned();
         for (what, help) in [
@@ -227,10 +239,34 @@
                 text.push_str(&format!("portspoke_connections_{what}{{server=\"{name}\"}} {n}\n"));
             }
         }
+        text.push_str(&metrics::head(
+            "kept_entries",
+            "gauge",
+            "entries kept under the names of servers, groups and doorways",
+        ));
+        for (what, count) in self.kept() {
+            text.push_str(&format!("portspoke_kept_entries{{of=\"{what}\"}} {count}\n"));
+        }
         out.body = text.into();
         out
     }
 
+    /// How many entries are kept under names that the operator may add and take away.
+    fn kept(&self) -> [(&'static str, usize); 8] {
+        let view = self.works.journal.view();
+        let [sights, heads, lists] = self.works.gauges.kept();
+        [
+            ("sights", sights),
+            ("heads", heads),
+            ("lists", lists),
+            ("servers", view.servers.len()),
+            ("shares", view.shares.len()),
+            ("leads", view.leads.len()),
+            ("zones", view.emptied.len()),
+            ("pools", self.works.pools.all().len()),
+        ]
+    }
+
     fn lists(&self) -> Vec<ListRow> {
         let lists = self.works.gauges.lists.borrow();
         let row = |((database, kind), l): (&crate::gauge::Key, &crate::gauge::List)| ListRow {
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -18,6 +18,7 @@
     words::Position,
 };
 use pick::{Outcome, Standing, Weights, Window};
+use wire::Image;
 
 use crate::view::Journal;
 
@@ -262,6 +263,17 @@
         self.moved.ring();
     }
 
+    /// Forgets servers and groups that the newest image no longer names.
+    fn forget(&self, image: &Image) {
+        self.sights.borrow_mut().retain(|server, _| image.root(server).is_some());
+        self.heads.borrow_mut().retain(|group, _| image.groups.iter().any(|g| g.name == *group));
+    }
+
+    /// How many servers, groups and lists something is kept of.
+    pub fn kept(&self) -> [usize; 3] {
+        [self.sights.borrow().len(), self.heads.borrow().len(), self.lists.borrow().len()]
+    }
+
     /// The oldest reading of the group's head that was asked for at `from` or later.
     pub fn head(&self, group: &str, from: Duration) -> Option<(Duration, Position)> {
         self.heads.borrow().get(group)?.iter().find(|h| h.0 >= from).copied()
--- a/spoke/src/gauge/select.rs
+++ b/spoke/src/gauge/select.rs
@@ -48,6 +48,7 @@
     fn enlist(&self) {
         let view = self.journal.view();
         let Some(image) = &view.image else { return };
+        self.forget(image);
         let mut lists = self.lists.borrow_mut();
         lists.retain(|k, _| image.doorways.iter().any(|d| d.name == k.0));
         for d in &image.doorways {
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -17,7 +17,7 @@
     tree::Tree,
 };
 use wire::{
-    Ask, AskReturn, Beat, BeatReturn, Body, Held, Hello, Lead, News, Out, Sight,
+    Ask, AskReturn, Beat, BeatReturn, Body, Held, Hello, Lead, Out, Sight, Snapshot,
     relay::{Head, Relay, Who},
 };
 
@@ -212,7 +212,7 @@
         }
     }
 
-    fn news(&self, news: &Rc<News>) {
+    fn news(&self, news: &Rc<Snapshot>) {
         self.journal.append(Event::News(news.clone()));
     }
 
--- a/spoke/src/view/fold.rs
+++ b/spoke/src/view/fold.rs
@@ -1,6 +1,6 @@
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
-use wire::{Mark, News};
+use wire::Snapshot;
 
 use super::{Event, Lead, Server, View};
 
@@ -27,6 +27,7 @@
                 for s in ret.shares {
                     self.shares.insert(s.server, (s.count, sent + Duration::from_millis(s.span)));
                 }
+                self.forget_shares(now);
                 self.waits.push((sent, ret.mark.unwrap_or_default()));
                 if self.waits.len() > 32 {
                     self.waits.remove(0);
@@ -48,9 +49,8 @@
         }
     }
 
-    fn news(&mut self, now: Duration, news: &Rc<News>) -> Option<String> {
-        let mark: Mark = news.mark.unwrap_or_default();
-        let image = news.image.clone()?;
+    fn news(&mut self, now: Duration, news: &Snapshot) -> Option<String> {
+        let (mark, image) = (news.mark, &news.image);
         // Never back to an older word, whoever sends it.
         if mark <= self.mark || self.image.as_ref().is_some_and(|i| image.sequence < i.sequence) {
             return None;
@@ -74,11 +74,19 @@
             self.emptied.entry(a.clone()).or_insert(now);
         }
         let line = format!("news {}.{} sequence {}", mark.term, mark.count, image.sequence);
-        self.image = Some(Rc::new(image));
+        self.image = Some(image.clone());
+        self.forget_shares(now);
         self.confirm();
         Some(line)
     }
 
+    /// Forgets shares that ran out, of servers that are in no group any more.
+    fn forget_shares(&mut self, now: Duration) {
+        let image = self.image.as_ref();
+        let in_force = |server: &str| image.is_some_and(|image| image.home(server).is_some());
+        self.shares.retain(|server, (_, until)| now < *until || in_force(server));
+    }
+
     fn confirm(&mut self) {
         let mark = self.mark;
         if let Some(t) = self.waits.iter().filter(|w| w.1 <= mark).map(|w| w.0).max() {
--- a/spoke/src/view/mod.rs
+++ b/spoke/src/view/mod.rs
@@ -10,14 +10,14 @@
 };
 
 use base::{bell::Bell, seam::Env};
-use wire::{BeatReturn, Image, Mark, News};
+use wire::{BeatReturn, Image, Mark, Snapshot};
 
 /// How many events the journal keeps for inspection.
 const MOST: usize = 512;
 
 /// Something the spoke was told.
 pub enum Event {
-    News(Rc<News>),
+    News(Rc<Snapshot>),
     Returned {
         ret: BeatReturn,
         sent: Duration,
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -3,9 +3,11 @@
 mod image;
 mod link;
 mod message;
+pub mod news;
 pub mod relay;
 
 pub use image::{Doorway, Elect, Group, Home, Image, Limits, Log, Spot, Taken};
 pub use link::{Broken, In, Out, decode, open};
 pub use message::*;
+pub use news::Snapshot;
 pub use prost::Message;
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -1,11 +1,11 @@
 use prost::{Message, Oneof};
 
-use crate::Image;
+use crate::{Doorway, Elect, Group, Image, Limits, Log};
 
 /// One frame of a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -33,6 +33,10 @@
     PulseReturn(PulseReturn),
     #[prost(message, tag = "11")]
     Root(Root),
+    #[prost(message, tag = "12")]
+    NewsDelta(NewsDelta),
+    #[prost(message, tag = "13")]
+    NewsRequest(NewsRequest),
 }
 
 /// The first frame of a link: who speaks.
@@ -61,6 +65,9 @@
     /// On control nodes: blank but for an image that a person took knowingly from the last disk.
     #[prost(bool, tag = "9")]
     pub rescued: bool,
+    /// Whether it takes news as deltas; builds that do not tell get each news whole.
+    #[prost(bool, tag = "10")]
+    pub deltas: bool,
 }
 
 /// What a node says up the tree to the leading hub.
@@ -188,7 +195,7 @@
     pub span: u64,
 }
 
-/// What goes down the tree: the operator's word and the servers as last told.
+/// What goes down the tree, whole: the operator's word and the servers as last told.
 #[derive(Clone, PartialEq, Message)]
 pub struct News {
     #[prost(message, optional, tag = "1")]
@@ -201,6 +208,60 @@
     pub nodes: Vec<Node>,
 }
 
+/// The changes between two states of the news: each list holds what is new or different, and the keys that are gone.
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsDelta {
+    /// The exact state that it builds on.
+    #[prost(message, optional, tag = "1")]
+    pub from: Option<Mark>,
+    /// The state that it leads to.
+    #[prost(message, optional, tag = "2")]
+    pub mark: Option<Mark>,
+    /// The checksum of the state that it leads to.
+    #[prost(fixed32, tag = "3")]
+    pub digest: u32,
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    #[prost(message, optional, tag = "5")]
+    pub limits: Option<Limits>,
+    #[prost(message, repeated, tag = "6")]
+    pub doorways: Vec<Doorway>,
+    #[prost(string, repeated, tag = "7")]
+    pub doorways_removed: Vec<String>,
+    #[prost(message, repeated, tag = "8")]
+    pub groups: Vec<Group>,
+    #[prost(string, repeated, tag = "9")]
+    pub groups_removed: Vec<String>,
+    #[prost(string, repeated, tag = "10")]
+    pub emptied: Vec<String>,
+    #[prost(string, repeated, tag = "11")]
+    pub emptied_removed: Vec<String>,
+    #[prost(message, repeated, tag = "12")]
+    pub elects: Vec<Elect>,
+    #[prost(string, repeated, tag = "13")]
+    pub elects_removed: Vec<String>,
+    #[prost(message, repeated, tag = "14")]
+    pub logs: Vec<Log>,
+    #[prost(string, repeated, tag = "15")]
+    pub logs_removed: Vec<String>,
+    #[prost(message, repeated, tag = "16")]
+    pub servers: Vec<Server>,
+    #[prost(string, repeated, tag = "17")]
+    pub servers_removed: Vec<String>,
+    #[prost(message, repeated, tag = "18")]
+    pub nodes: Vec<Node>,
+    #[prost(string, repeated, tag = "19")]
+    pub nodes_removed: Vec<String>,
+}
+
+/// A child asks its parent for the whole news: a delta did not fit what it holds.
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsRequest {
+    /// The newest state that the child holds.
+    #[prost(message, optional, tag = "1")]
+    pub mark: Option<Mark>,
+}
+
 /// A server as it told of itself.
 #[derive(Clone, PartialEq, Message)]
 pub struct Server {
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -131,6 +131,7 @@
         let Found { hello, root, mut inn, out } = found;
         self.log(format!("parent is {} at depth {}", hello.name, root.depth));
         *self.parent.borrow_mut() = Some(Parent { name: hello.name.clone(), out, root });
+        self.news_requested.set(None);
         let start = self.env.now();
         self.send_beat(false);
         let better = self.nearer(hello.clone()).fuse();
@@ -167,7 +168,8 @@
                     }
                     self.called(wave);
                 }
-                Some(Body::News(n)) => self.publish(n),
+                Some(Body::News(n)) => self.take_whole(n),
+                Some(Body::NewsDelta(d)) => self.take_delta(d),
                 Some(b) => self.down(b),
                 None => {}
             }
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! The tree of relays: beats and asks go up to the leading hub, returns and news come down.
 
 mod join;
+mod news;
 mod serve;
 
 use std::{
@@ -21,7 +22,9 @@
 };
 use futures::channel::oneshot;
 
-use crate::{Ask, AskReturn, Beat, BeatReturn, Body, Hello, Mark, News, Out, Root};
+use crate::{Ask, AskReturn, Beat, BeatReturn, Body, Hello, NewsDelta, Out, Root, Snapshot};
+
+pub use news::NewsCounts;
 
 /// How many children a node takes before it calls itself full.
 const FULL: usize = 4;
@@ -37,7 +40,7 @@
     /// A return to this node's own beat, which was sent at `sent`.
     fn returned(&self, ret: BeatReturn, sent: Duration);
     /// Newer news than before.
-    fn news(&self, news: &Rc<News>);
+    fn news(&self, news: &Rc<Snapshot>);
     /// At the leading hub: a beat; gives the return.
     fn beaten(&self, beat: Beat) -> Option<BeatReturn>;
     /// At the leading hub: an outer request.
@@ -53,6 +56,10 @@
 struct Child {
     name: String,
     out: Out,
+    /// Whether it takes news as deltas.
+    deltas: bool,
+    /// The newest news it holds once it has read all that was sent; unknown until its own first beat.
+    news: Option<news::Sent>,
 }
 
 struct Parent {
@@ -85,7 +92,12 @@
     lookers: RefCell<BTreeMap<u64, Out>>,
     routes: RefCell<BTreeMap<String, u64>>,
     parent: RefCell<Option<Parent>>,
-    news: RefCell<Option<Rc<News>>>,
+    news: RefCell<Option<Rc<Snapshot>>>,
+    /// What led to the newest news from the one before.
+    newest_delta: RefCell<Option<Rc<NewsDelta>>>,
+    /// When the parent was last asked for the whole news.
+    news_requested: Cell<Option<Duration>>,
+    pub news_counts: NewsCounts,
     asks: RefCell<BTreeMap<u64, oneshot::Sender<AskReturn>>>,
     sent: RefCell<VecDeque<(u64, Duration)>>,
     heard: Cell<u64>,
@@ -114,6 +126,9 @@
             routes: RefCell::default(),
             parent: RefCell::default(),
             news: RefCell::default(),
+            newest_delta: RefCell::default(),
+            news_requested: Cell::default(),
+            news_counts: NewsCounts::default(),
             asks: RefCell::default(),
             sent: RefCell::default(),
             heard: Cell::default(),
@@ -170,15 +185,6 @@
         self.children.borrow().values().map(|c| c.name.clone()).collect()
     }
 
-    /// The newest news this node has.
-    pub fn latest(&self) -> Option<Rc<News>> {
-        self.news.borrow().clone()
-    }
-
-    fn mark(&self) -> Mark {
-        self.news.borrow().as_ref().and_then(|n| n.mark).unwrap_or_default()
-    }
-
     fn root(&self) -> Root {
         let mut root = Root {
             fed: self.fed(),
@@ -204,26 +210,13 @@
             peer: self.who.peer.to_string(),
             boot: self.who.boot,
             rule: self.bounds.borrow().sum(),
+            deltas: true,
             ..Hello::default()
         };
         self.head().hello(&mut hello);
         hello
     }
 
-    /// Takes news from above or from this node itself, and hands it down.
-    pub fn publish(&self, news: News) {
-        let mark = news.mark.unwrap_or_default();
-        if mark <= self.mark() {
-            return;
-        }
-        let news = Rc::new(news);
-        *self.news.borrow_mut() = Some(news.clone());
-        self.head().news(&news);
-        for c in self.children.borrow().values() {
-            c.out.send(Body::News((*news).clone()));
-        }
-    }
-
     fn up(&self, body: Body) {
         if self.head().rooted() {
             match body {
--- a/wire/src/relay/serve.rs
+++ b/wire/src/relay/serve.rs
@@ -46,6 +46,11 @@
             match body {
                 Body::Beat(_) | Body::Ask(_) => {
                     self.adopt(id, &from, &out);
+                    if let Body::Beat(b) = &body
+                        && b.name == from.name
+                    {
+                        self.child_holds(id, b.seen.unwrap_or_default());
+                    }
                     let origin = match &body {
                         Body::Beat(b) => b.name.clone(),
                         Body::Ask(a) => a.origin.clone(),
@@ -54,6 +59,7 @@
                     self.routes.borrow_mut().insert(origin, id);
                     self.up(body);
                 }
+                Body::NewsRequest(request) => self.child_asks(id, request.mark.unwrap_or_default()),
                 other => {
                     // A hub's link for votes and pulses: nobody looks for a parent over it.
                     self.lookers.borrow_mut().remove(&id);
@@ -77,10 +83,8 @@
             return;
         }
         self.lookers.borrow_mut().remove(&id);
-        self.children.borrow_mut().insert(id, Child { name: from.name.clone(), out: out.clone() });
-        if let Some(n) = self.latest() {
-            out.send(Body::News((*n).clone()));
-        }
+        let child = Child { name: from.name.clone(), out: out.clone(), deltas: from.deltas, news: None };
+        self.children.borrow_mut().insert(id, child);
         self.log(format!("{} joined", from.name));
     }
 }
