--- /dev/null
+++ b/kit/tests/relay_news.rs
@@ -0,0 +1,183 @@
+//! One node of the tree against a parent or children that are played by the test: what it takes, what it refuses, what it
+//! asks for, and what it sends. Virtual time.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use base::{Bounds, Env, tree::Tree};
+use kit::sim::Sim;
+use wire::{
+    Ask, AskReturn, Beat, BeatReturn, Body, Doorway, Hello, Image, Mark, News, NewsDelta, Out, Root, Snapshot, open,
+    relay::{Head, Relay, Who},
+};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn addr(host: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, host], 4000))
+}
+
+fn mark(count: u64) -> Mark {
+    Mark { term: 1, count }
+}
+
+/// The news that was published under a count: as many doorways.
+fn news(count: u64) -> News {
+    let doorway = |i: u64| Doorway { name: format!("d{i}"), fresh_ms: i, ..Doorway::default() };
+    let image = Image { sequence: count, doorways: (0..count).map(doorway).collect(), ..Image::default() };
+    News { mark: Some(mark(count)), image: Some(image), ..News::default() }
+}
+
+fn snapshot(count: u64) -> Snapshot {
+    Snapshot::from_news(news(count)).expect("whole news")
+}
+
+fn delta(from: u64, to: u64) -> NewsDelta {
+    snapshot(from).delta_to(&snapshot(to))
+}
+
+/// Keeps all news that the relay took.
+#[derive(Default)]
+struct Recorder {
+    root: bool,
+    taken: RefCell<Vec<Rc<Snapshot>>>,
+}
+
+impl Head for Recorder {
+    fn rooted(&self) -> bool {
+        self.root
+    }
+    fn beat(&self, _beat: &mut Beat) {}
+    fn returned(&self, _ret: BeatReturn, _sent: Duration) {}
+    fn news(&self, news: &Rc<Snapshot>) {
+        self.taken.borrow_mut().push(news.clone());
+    }
+    fn beaten(&self, _beat: Beat) -> Option<BeatReturn> {
+        None
+    }
+    fn asked(&self, _ask: Ask, _done: Box<dyn FnOnce(AskReturn)>) {}
+    fn other(&self, _from: &Hello, _body: Body, _out: &Out) {}
+}
+
+/// A relay at an address, with its tasks.
+fn relay(sim: &Rc<Sim>, name: &str, at: SocketAddr, seeds: Vec<SocketAddr>) -> (Rc<Relay>, Rc<Recorder>) {
+    let env = sim.env(sim.host(name, "north"));
+    let root = seeds.is_empty();
+    let who = Who { name: name.into(), area: "north".into(), hub: root, peer: at, http: at, seeds, boot: 7 };
+    let relay = Relay::new(&env, who, Bounds::default());
+    let recorder = Rc::new(Recorder { root, ..Recorder::default() });
+    relay.lead(recorder.clone());
+    let (served, place) = (relay.clone(), env.clone());
+    let task = async move {
+        let mut tree = Tree::new(&place);
+        served.tend(&mut tree, place.listen(at).await.expect("a free address"));
+        std::future::pending::<()>().await;
+    };
+    env.spawn(task).detach();
+    (relay, recorder)
+}
+
+/// Plays a parent that answers beats and sends these frames, each after a pause; keeps the marks of requests.
+async fn parent(env: Env, at: SocketAddr, frames: Vec<Body>, requests: Rc<RefCell<Vec<Mark>>>) {
+    let sock = env.listen(at).await.expect("a free address");
+    let (mut inn, out) = open(&env, sock.accept().await.expect("a link"));
+    out.send(Body::Hello(Hello { name: "parent".into(), area: "north".into(), hub: true, ..Hello::default() }));
+    out.send(Body::Root(Root { fed: true, path: vec!["parent".into()], ..Root::default() }));
+    let (place, sender) = (env.clone(), out.clone());
+    let send = async move {
+        place.sleep(ms(300)).await;
+        for frame in frames {
+            sender.send(frame);
+            place.sleep(ms(20)).await;
+        }
+    };
+    env.spawn(send).detach();
+    while let Ok(body) = inn.next().await {
+        match body {
+            Body::Beat(b) => {
+                let ret = BeatReturn { name: b.name, boot: b.boot, nonce: b.nonce, ..BeatReturn::default() };
+                out.send(Body::BeatReturn(ret));
+            }
+            Body::NewsRequest(r) => requests.borrow_mut().push(r.mark.unwrap_or_default()),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn a_node_takes_only_what_was_published_never_goes_back_and_asks_once_for_the_whole() {
+    let mut bad = delta(5, 6);
+    bad.doorways[0].fresh_ms += 1;
+    let frames = vec![
+        Body::News(news(1)),
+        Body::NewsDelta(delta(1, 2)),
+        // Once more, then an older one, then two over a gap.
+        Body::NewsDelta(delta(1, 2)),
+        Body::News(news(1)),
+        Body::NewsDelta(delta(3, 4)),
+        Body::NewsDelta(delta(4, 5)),
+        Body::News(news(4)),
+        Body::NewsDelta(delta(4, 5)),
+        Body::News(news(3)),
+        // One that does not lead to what was published.
+        Body::NewsDelta(bad),
+        Body::News(news(6)),
+    ];
+    let sim = Sim::new(1);
+    let requests = Rc::<RefCell<Vec<Mark>>>::default();
+    let env = sim.env(sim.host("parent", "north"));
+    env.spawn(parent(env.clone(), addr(1), frames, requests.clone())).detach();
+    let (relay, recorder) = relay(&sim, "child", addr(2), vec![addr(1)]);
+    sim.pass(Duration::from_secs(2));
+    let taken: Vec<Snapshot> = recorder.taken.borrow().iter().map(|s| (**s).clone()).collect();
+    assert_eq!(taken, [1, 2, 4, 5, 6].map(snapshot));
+    assert_eq!(*requests.borrow(), [mark(2), mark(5)]);
+    let counts = &relay.news_counts;
+    assert_eq!((counts.mismatches.get(), counts.requests.get(), counts.whole.get()), (1, 2, 5));
+}
+
+/// Plays a child that tells in its first beat that it holds this mark; keeps the news it is sent.
+fn child(sim: &Rc<Sim>, name: &str, deltas: bool, seen: Mark) -> Rc<RefCell<Vec<Body>>> {
+    let got = Rc::<RefCell<Vec<Body>>>::default();
+    let (env, kept, name) = (sim.env(sim.host(name, "north")), got.clone(), name.to_string());
+    let place = env.clone();
+    let task = async move {
+        let io = place.connect(addr(1), ms(200)).await.expect("a link");
+        let (mut inn, out) = open(&place, io);
+        out.send(Body::Hello(Hello { name: name.clone(), deltas, ..Hello::default() }));
+        out.send(Body::Beat(Beat { name, seen: Some(seen), ..Beat::default() }));
+        while let Ok(body) = inn.next().await {
+            if matches!(body, Body::News(_) | Body::NewsDelta(_)) {
+                kept.borrow_mut().push(body);
+            }
+        }
+    };
+    env.spawn(task).detach();
+    sim.pass(ms(100));
+    got
+}
+
+#[test]
+fn a_child_is_sent_what_it_lacks_and_nothing_else() {
+    let sim = Sim::new(1);
+    let (root, _) = relay(&sim, "root", addr(1), Vec::new());
+    sim.pass(ms(100));
+    root.publish(news(1));
+    let level = child(&sim, "level", true, mark(1));
+    let empty = child(&sim, "empty", true, Mark::default());
+    let newer = child(&sim, "newer", true, mark(9));
+    let plain = child(&sim, "plain", false, mark(1));
+    assert!(level.borrow().is_empty() && newer.borrow().is_empty() && plain.borrow().is_empty());
+    assert_eq!(*empty.borrow(), [Body::News(news(1))]);
+    root.publish(news(2));
+    sim.pass(ms(100));
+    assert_eq!(*level.borrow(), [Body::NewsDelta(delta(1, 2))]);
+    assert_eq!(*empty.borrow(), [Body::News(news(1)), Body::NewsDelta(delta(1, 2))]);
+    assert_eq!(*plain.borrow(), [Body::News(news(2))]);
+    assert!(newer.borrow().is_empty());
+    let late = child(&sim, "late", true, mark(1));
+    let other = child(&sim, "other", true, Mark { term: 0, count: 5 });
+    assert_eq!(*late.borrow(), [Body::NewsDelta(delta(1, 2))]);
+    assert_eq!(*other.borrow(), [Body::News(news(2))]);
+}
