--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -37,6 +37,9 @@
 /// How many nodes news tells of at most.
 const FELLOWS: usize = 64;
 
+/// For how many times the bound of silence a server that is gone and in no group is still known.
+const FORGET_AFTER: u32 = 8;
+
 /// The leading hub's desk; empty on the others.
 pub struct Duty {
     pub(crate) env: Env,
@@ -357,6 +360,7 @@
                 moved |= t.gone != (quiet || t.left);
                 t.gone = quiet || t.left;
             }
+            moved |= self.forget_servers(now);
             self.seats.borrow_mut().retain(|_, s| now.saturating_sub(s.heard) < gone * 2);
             // Nodes that come and go together are told of together.
             moved |= *self.told_nodes.borrow() != self.fellows();
@@ -366,6 +370,16 @@
         }
     }
 
+    /// Forgets servers that are in no group and have been gone for long enough that no report of theirs is under way.
+    fn forget_servers(&self, now: Duration) -> bool {
+        let Some(image) = self.agree.image() else { return false };
+        let mut servers = self.servers.borrow_mut();
+        let before = servers.len();
+        let span = self.bounds.gone() * FORGET_AFTER;
+        servers.retain(|name, t| !t.gone || image.root(name).is_some() || now < t.heard + span);
+        servers.len() != before
+    }
+
     fn log(&self, part: Part, text: impl AsRef<str>) {
         self.env.log(part, text);
     }
--- a/kit/tests/news.rs
+++ b/kit/tests/news.rs
@@ -4,6 +4,7 @@
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use base::{
+    edge::backend::Report,
     edge::operator::{Change, Doorway, Group, Readback},
     strict,
 };
@@ -318,3 +319,46 @@
     town.sim.pass(secs(5));
     assert_eq!(few, kept(&town));
 }
+
+/// Reports of a group's servers, at addresses where nobody listens.
+async fn report(env: base::Env, at: std::net::SocketAddr, group: String, host: usize) {
+    for server in 0..3 {
+        let body = Report {
+            server: format!("{group}-{server}"),
+            area: "north".into(),
+            addr: format!("127.9.{host}.{}:4000", server + 1),
+            leads: false,
+            draining: false,
+            cold: 0.0,
+            line: 1,
+            index: 1,
+            log: 1,
+            group: String::new(),
+            turn: 1,
+            leaving: false,
+        };
+        fleet::ask(&env, at, "POST", "/report", &body.serialize_json()).await.expect("an answer");
+    }
+}
+
+/// Servers that were in force for a while and told of themselves leave nothing at the nodes either.
+#[test]
+fn servers_that_came_and_went_leave_nothing() {
+    let town = town(1, 3);
+    let before = kept(&town);
+    let mut most = 0;
+    for i in 0..6 {
+        let mut changes = passing(i, i + 1);
+        let last = changes.split_off(1);
+        make(&town, changes);
+        let (env, at) = (town.desk(), town.layout.spokes[0].http);
+        town.at_desk(secs(5), report(env, at, format!("passing-{i}"), i + 1)).expect("reports");
+        town.sim.pass(secs(2));
+        let page = &kept(&town)[0];
+        most = most.max(after(page, "{of=\"sights\"} "));
+        make(&town, last);
+    }
+    assert!(most > after(&before[0], "{of=\"sights\"} "), "the nodes asked the servers that came");
+    town.sim.pass(secs(30));
+    assert_eq!(before, kept(&town));
+}
