--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -376,7 +376,9 @@
         let mut servers = self.servers.borrow_mut();
         let before = servers.len();
         let span = self.bounds.gone() * FORGET_AFTER;
-        servers.retain(|name, t| !t.gone || image.root(name).is_some() || now < t.heard + span);
+        // What an earlier leading hub told of is counted from when this one began to lead.
+        let since = self.agree.term().1;
+        servers.retain(|name, t| !t.gone || image.root(name).is_some() || now < t.heard.max(since) + span);
         servers.len() != before
     }
 
