--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -39,6 +39,9 @@
 /// How many nodes news tells of at most.
 const FELLOWS: usize = 64;
 
+/// For how many times the bound of silence a server that is gone and in no group is still known.
+const FORGET_AFTER: u32 = 8;
+
 /// The leading hub's desk; empty on the others.
 pub struct Duty {
     pub(crate) env: Env,
@@ -62,6 +65,8 @@
     refused: RefCell<BTreeSet<String>>,
     term: Cell<u64>,
     count: Cell<u64>,
+    /// A change was not published, as the lease had lapsed; it goes out before any node is confirmed again.
+    unpublished: Cell<bool>,
     /// Until when servers are read more often, as somebody waits for what is read.
     urgent: Cell<Duration>,
     /// Orders under way.
@@ -102,6 +107,7 @@
             refused: RefCell::default(),
             term: Cell::new(0),
             count: Cell::new(0),
+            unpublished: Cell::default(),
             urgent: Cell::default(),
             orders: Permits::new(operator::MOST_ORDERS),
             listed_zones: place.zones.clone(),
@@ -142,7 +148,10 @@
 
     fn take_over(&self, term: u64) {
         self.term.set(term);
-        self.count.set(0);
+        // Marks rise within a term, whatever was published in it before.
+        let before = self.relay.latest().filter(|news| news.mark.term == term);
+        self.count.set(before.map_or(0, |news| news.mark.count));
+        self.unpublished.set(false);
         let lapse = self.env.now() + self.bounds.lapse();
         *self.ledger.borrow_mut() = match self.agree.inherited_leases() {
             Some(i) => Ledger::heir(lapse, i.at, &i.leases),
@@ -182,7 +191,8 @@
     /// Sends news of the present state down the tree.
     pub fn publish(&self) {
         let Some(image) = self.agree.image() else { return };
-        if !self.agree.leads() {
+        self.unpublished.set(!self.agree.leads());
+        if self.unpublished.get() {
             return;
         }
         self.count.set(self.count.get() + 1);
@@ -267,6 +277,9 @@
             return None;
         }
         let image = self.agree.image()?;
+        if self.unpublished.get() {
+            self.publish();
+        }
         let now = self.env.now();
         {
             let mut seats = self.seats.borrow_mut();
@@ -357,6 +370,7 @@
                 moved |= t.gone != (quiet || t.left);
                 t.gone = quiet || t.left;
             }
+            moved |= self.forget_servers(now);
             self.seats.borrow_mut().retain(|_, s| now.saturating_sub(s.heard) < gone * 2);
             // Nodes that come and go together are told of together.
             moved |= *self.told_nodes.borrow() != self.fellows();
@@ -366,6 +380,18 @@
         }
     }
 
+    /// Forgets servers that are in no group and have been gone for long enough that no report of theirs is under way.
+    fn forget_servers(&self, now: Duration) -> bool {
+        let Some(image) = self.agree.image() else { return false };
+        let mut servers = self.servers.borrow_mut();
+        let before = servers.len();
+        let span = self.bounds.gone() * FORGET_AFTER;
+        // What an earlier leading hub told of is counted from when this one began to lead.
+        let since = self.agree.term().1;
+        servers.retain(|name, t| !t.gone || image.root(name).is_some() || now < t.heard.max(since) + span);
+        servers.len() != before
+    }
+
     fn log(&self, part: Part, text: impl AsRef<str>) {
         self.env.log(part, text);
     }
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -43,7 +43,7 @@
     #[prost(uint64, tag = "14")]
     pub forgotten: u64,
     /// While the membership changes: the members before, of which a quorum needs a majority too.
-    #[prost(message, repeated, tag = "20")]
+    #[prost(message, repeated, tag = "21")]
     pub outgoing_members: Vec<Member>,
 }
 
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,10 +4,12 @@
 mod image;
 mod link;
 mod message;
+pub mod news;
 pub mod relay;
 
 pub use consensus::{Heartbeat, HeartbeatAck, VoteRequest, VoteResponse};
 pub use image::{Doorway, Elect, Group, Image, Limits, Log, Member, Spot, Taken};
 pub use link::{Broken, In, Out, decode, open};
 pub use message::*;
+pub use news::Snapshot;
 pub use prost::Message;
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod join;
+mod news;
 mod serve;
 
 use ask::Arrivals;
@@ -23,7 +24,9 @@
 };
 use futures::channel::oneshot;
 
-use crate::{Ask, AskReturn, Beat, BeatReturn, Body, Hello, Mark, News, Out, Root};
+use crate::{Ask, AskReturn, Beat, BeatReturn, Body, Hello, NewsDelta, Out, Root, Snapshot};
+
+pub use news::NewsCounts;
 
 /// How many children a node takes before it calls itself full.
 const FULL: usize = 4;
@@ -39,7 +42,7 @@
     /// A return to this node's own beat, which was sent at `sent`.
     fn returned(&self, ret: BeatReturn, sent: Duration);
     /// Newer news than before.
-    fn news(&self, news: &Rc<News>);
+    fn news(&self, news: &Rc<Snapshot>);
     /// At the leading hub: a beat; gives the return.
     fn beaten(&self, beat: Beat) -> Option<BeatReturn>;
     /// At the leading hub: an outer request.
@@ -55,6 +58,10 @@
 struct Child {
     name: String,
     out: Out,
+    /// Whether it takes news as deltas.
+    deltas: bool,
+    /// The newest news it holds once it has read all that was sent; unknown until its own first beat.
+    news: Option<news::Sent>,
 }
 
 struct Parent {
@@ -85,9 +92,15 @@
     children: RefCell<BTreeMap<u64, Child>>,
     /// Links of nodes that look for a parent.
     lookers: RefCell<BTreeMap<u64, Out>>,
-    routes: RefCell<BTreeMap<String, u64>>,
+    /// Through which child each node below is reached, and when that was last heard.
+    routes: RefCell<BTreeMap<String, (u64, Duration)>>,
     parent: RefCell<Option<Parent>>,
-    news: RefCell<Option<Rc<News>>>,
+    news: RefCell<Option<Rc<Snapshot>>>,
+    /// What led to the newest news from the one before.
+    newest_delta: RefCell<Option<Rc<NewsDelta>>>,
+    /// When the parent was last asked for the whole news.
+    news_requested: Cell<Option<Duration>>,
+    pub news_counts: NewsCounts,
     asks: RefCell<BTreeMap<u64, oneshot::Sender<AskReturn>>>,
     /// At the leading hub: when beats came that were returned.
     arrivals: RefCell<BTreeMap<String, Arrivals>>,
@@ -120,6 +133,9 @@
             routes: RefCell::default(),
             parent: RefCell::default(),
             news: RefCell::default(),
+            newest_delta: RefCell::default(),
+            news_requested: Cell::default(),
+            news_counts: NewsCounts::default(),
             asks: RefCell::default(),
             arrivals: RefCell::default(),
             guards: Guards::default(),
@@ -159,6 +175,11 @@
         Duration::from_millis(self.bounds.borrow().blueprint) / 3
     }
 
+    /// How long a node below may be silent before it is forgotten.
+    fn quiet(&self) -> Duration {
+        self.stale() * 4
+    }
+
     /// Whether the leading hub was heard through the parent lately.
     pub fn fed(&self) -> bool {
         let fresh = self.heard_at.get().is_some_and(|t| self.env.now() - t < self.stale());
@@ -178,15 +199,6 @@
         self.children.borrow().values().map(|c| c.name.clone()).collect()
     }
 
-    /// The newest news this node has.
-    pub fn latest(&self) -> Option<Rc<News>> {
-        self.news.borrow().clone()
-    }
-
-    fn mark(&self) -> Mark {
-        self.news.borrow().as_ref().and_then(|n| n.mark).unwrap_or_default()
-    }
-
     fn root(&self) -> Root {
         let mut root = Root {
             fed: self.fed(),
@@ -212,26 +224,13 @@
             peer: self.who.peer.to_string(),
             boot: self.who.boot,
             rule: self.bounds.borrow().sum(),
+            deltas: true,
             ..Hello::default()
         };
         self.head().hello(&mut hello);
         hello
     }
 
-    /// Takes news from above or from this node itself, and hands it down.
-    pub fn publish(&self, news: News) {
-        let mark = news.mark.unwrap_or_default();
-        if mark <= self.mark() {
-            return;
-        }
-        let news = Rc::new(news);
-        *self.news.borrow_mut() = Some(news.clone());
-        self.head().news(&news);
-        for c in self.children.borrow().values() {
-            c.out.send(Body::News((*news).clone()));
-        }
-    }
-
     fn up(&self, body: Body) {
         if self.head().rooted() {
             match body {
@@ -269,7 +268,7 @@
         };
         if *to != self.who.name {
             let route = self.routes.borrow().get(to).copied();
-            if let Some(c) = route.and_then(|id| self.children.borrow().get(&id).map(|c| c.out.clone())) {
+            if let Some(c) = route.and_then(|(id, _)| self.children.borrow().get(&id).map(|c| c.out.clone())) {
                 self.handed.set(self.handed.get() + 1);
                 c.send(body);
             }
@@ -368,11 +367,23 @@
             if !self.head().rooted() {
                 self.send_beat(false);
             }
+            self.forget_routes();
             self.tell_root();
             let _ = self.env.within(self.bounds().beat(), self.hurry.after(seen)).await;
         }
     }
 
+    /// Forgets nodes below that are silent for as long as a child may be.
+    fn forget_routes(&self) {
+        let (now, quiet) = (self.env.now(), self.quiet());
+        self.routes.borrow_mut().retain(|_, (_, heard)| now < *heard + quiet);
+    }
+
+    /// How many nodes are reached through children.
+    pub fn routes(&self) -> usize {
+        self.routes.borrow().len()
+    }
+
     /// Tells the leading hub that this node hands everything back.
     pub fn leave(&self) {
         self.send_beat(true);
--- a/wire/src/relay/serve.rs
+++ b/wire/src/relay/serve.rs
@@ -36,7 +36,7 @@
         out.send(Body::Root(self.root()));
         let id = self.next();
         self.lookers.borrow_mut().insert(id, out.clone());
-        let quiet = self.stale() * if from.hub { 60 } else { 4 };
+        let quiet = self.quiet() * if from.hub { 15 } else { 1 };
         let end = loop {
             let body = match self.env.within(quiet, inn.next()).await {
                 Ok(Ok(b)) => b,
@@ -46,14 +46,20 @@
             match body {
                 Body::Beat(_) | Body::Ask(_) => {
                     self.adopt(id, &from, &out);
+                    if let Body::Beat(b) = &body
+                        && b.name == from.name
+                    {
+                        self.child_holds(id, b.seen.unwrap_or_default());
+                    }
                     let origin = match &body {
                         Body::Beat(b) => b.name.clone(),
                         Body::Ask(a) => a.origin.clone(),
                         _ => unreachable!("only beats and asks come here"),
                     };
-                    self.routes.borrow_mut().insert(origin, id);
+                    self.routes.borrow_mut().insert(origin, (id, self.env.now()));
                     self.up(body);
                 }
+                Body::NewsRequest(request) => self.child_asks(id, request.mark.unwrap_or_default()),
                 other => {
                     // A hub's link for votes and pulses: nobody looks for a parent over it.
                     self.lookers.borrow_mut().remove(&id);
@@ -67,7 +73,7 @@
         }
         self.lookers.borrow_mut().remove(&id);
         if self.children.borrow_mut().remove(&id).is_some() {
-            self.routes.borrow_mut().retain(|_, r| *r != id);
+            self.routes.borrow_mut().retain(|_, (child, _)| *child != id);
             self.log(format!("{} left", from.name));
         }
     }
@@ -77,10 +83,8 @@
             return;
         }
         self.lookers.borrow_mut().remove(&id);
-        self.children.borrow_mut().insert(id, Child { name: from.name.clone(), out: out.clone() });
-        if let Some(n) = self.latest() {
-            out.send(Body::News((*n).clone()));
-        }
+        let child = Child { name: from.name.clone(), out: out.clone(), deltas: from.deltas, news: None };
+        self.children.borrow_mut().insert(id, child);
         self.log(format!("{} joined", from.name));
     }
 }
