Elections rest only on lists of servers that were found complete

All others of an incomplete list were kept from receiving, and a server that was not on it could have confirmed a commit alone. A newcomer also took the place of any server that had left, wherever its log was.

Now the image records at how many servers a list was found complete; no election rests on another list, a hand-over from it tells the old leader to follow first, and one that joins during an election begins it anew. Servers are written in together. News of servers goes out at most once in half a beat.

--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -161,9 +161,24 @@
             self.log(Part::Elect, format!("{} {}", st.server, if granting { "is seen" } else { "is missed" }));
             self.relay.call();
         }
+        if leads && !st.unclear {
+            self.free_held(g, &st.server);
+        }
         self.watch_blind(g, image, &st);
     }
 
+    /// Frees servers that an election kept from receiving which was given up, as the leader is back.
+    fn free_held(&self, g: &Group, leader: &str) {
+        let is_held = |s: &&String| {
+            let talks = self.talks.borrow();
+            let talk = talks.get(*s);
+            talk.is_some_and(|t| t.held.is_some() || matches!(t.order, Some(Act::Hold { .. })))
+        };
+        let others = g.servers.iter().filter(|s| *s != leader);
+        let held: Vec<String> = others.filter(is_held).cloned().collect();
+        self.free_all(&held);
+    }
+
     /// A leader that some nodes can't reach, while another fit server is in sight of more, is to hand over to that one.
     fn watch_blind(&self, g: &Group, image: &Image, st: &super::Standing) {
         let now = self.env.now();
@@ -304,6 +319,7 @@
                 Some(code)
             }
             Err(e) => {
+                self.edit(&g.name, |s| s.unclear = true);
                 self.log(Part::Elect, format!("the call naming {server} failed: {e}"));
                 None
             }
@@ -339,6 +355,10 @@
         if others.is_empty() || need == 0 {
             return;
         }
+        if !self.list_stands(g) {
+            // A leader that crashed comes back with its log: waiting is safe.
+            return self.explain(&g.name, "a server may not be listed yet; no election");
+        }
         let line = self.newest(g) + 1;
         self.log(Part::Elect, format!("new leader needed for {}", g.name));
         if self.tricks.no_hold {
@@ -375,6 +395,10 @@
             self.log(Part::Elect, format!("{lost} answers again"));
             return self.free_all(&others);
         }
+        if !self.list_stands(g) {
+            // Whoever came meanwhile is to be kept from receiving and read too.
+            return self.log(Part::Elect, format!("the servers of {} changed; its election begins anew", g.name));
+        }
         let best = {
             let talks = self.talks.borrow();
             let told = self.servers.borrow();
@@ -394,6 +418,14 @@
         self.await_leader(g, &best, line).await;
     }
 
+    /// Notes why no election is held, once for each reason.
+    fn explain(&self, group: &str, why: &str) {
+        if self.stand(group).why != why {
+            self.log(Part::Elect, format!("{group}: {why}"));
+            self.edit(group, |s| s.why = why.into());
+        }
+    }
+
     /// Waits for the named server to be seen leading.
     async fn await_leader(&self, g: &Group, server: &str, line: u64) -> bool {
         let span = self.bounds.gone();
@@ -423,6 +455,10 @@
         let line = self.newest(g) + 1;
         let others: Vec<String> = g.servers.iter().filter(|s| *s != from && **s != name).cloned().collect();
         self.log(Part::Elect, format!("{from} is to hand {} over to {name}", g.name));
+        if !self.list_stands(g) {
+            // One that is not listed could confirm; the old leader's own log holds all.
+            return self.hand_down(g, from, &name, line).await;
+        }
         let Some(goal) = self.hold_all(&others, line, self.bounds.missed()).await else {
             self.free_all(&others);
             return self.hand_down(g, from, &name, line).await;
@@ -440,6 +476,10 @@
             self.edit(&g.name, |s| s.wish = None);
             return;
         }
+        if !self.list_stands(g) {
+            self.log(Part::Elect, format!("the servers of {} changed; {from} leads on", g.name));
+            return self.free_all(&others);
+        }
         if self.call_name(g, &name).await != Some(200) {
             // What became of the call can't be told: those kept from receiving stay so until it shows.
             return;
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -35,6 +35,8 @@
     pub dim: Option<Duration>,
     /// Until when the leader is to be relieved, as an operator takes it out.
     pub relieve: Option<Duration>,
+    /// A naming in this term got no clear answer: it may still be carried out.
+    pub unclear: bool,
     /// Why the next election is held.
     pub why: String,
 }
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -3,6 +3,7 @@
 mod crown;
 mod lead;
 mod ledger;
+mod membership;
 mod muster;
 mod probe;
 mod registry;
@@ -30,6 +31,7 @@
 
 pub use lead::Standing;
 use ledger::Ledger;
+use membership::Listed;
 use probe::{Seen, Talk};
 use registry::{Seat, Told};
 use roll::{Phase, Roll};
@@ -56,6 +58,9 @@
     seen: RefCell<BTreeMap<String, Seen>>,
     rolls: RefCell<BTreeMap<String, Roll>>,
     phases: RefCell<BTreeMap<String, Phase>>,
+    listed: RefCell<Listed>,
+    /// The state moved since the newest news.
+    unpublished: Cell<bool>,
     /// Servers whose address turned the hub away at once, twice in a row.
     refused: RefCell<BTreeSet<String>>,
     term: Cell<u64>,
@@ -94,6 +99,8 @@
             seen: RefCell::default(),
             rolls: RefCell::default(),
             phases: RefCell::default(),
+            listed: RefCell::default(),
+            unpublished: Cell::default(),
             refused: RefCell::default(),
             term: Cell::new(0),
             count: Cell::new(0),
@@ -126,8 +133,10 @@
             let roll = self.env.spawn(async move { me.roll().await });
             let me = self.clone();
             let muster = self.env.spawn(async move { me.muster().await });
+            let me = self.clone();
+            let batches = self.env.spawn(async move { me.publish_batches().await });
             self.agree.bell.until(|| (self.agree.image().is_none() || self.agree.term().0 != term).then_some(())).await;
-            drop((probes, tends, watch, roll, muster));
+            drop((probes, tends, watch, roll, muster, batches));
             self.standings.borrow_mut().clear();
             self.seen.borrow_mut().clear();
         }
@@ -146,6 +155,7 @@
         self.seen.borrow_mut().clear();
         self.rolls.borrow_mut().clear();
         self.phases.borrow_mut().clear();
+        self.listed.borrow_mut().clear();
         self.refused.borrow_mut().clear();
         self.talks.borrow_mut().clear();
         // What was told to the hub before is in the news that came by; the rest is told again soon.
@@ -178,6 +188,7 @@
         if !self.agree.leads() {
             return;
         }
+        self.unpublished.set(false);
         self.count.set(self.count.get() + 1);
         let news = News {
             mark: Some(self.mark()),
@@ -190,6 +201,22 @@
         self.bell.ring();
     }
 
+    /// Sends news with the next batch: what servers tell of themselves is not news at every heartbeat.
+    pub(super) fn publish_soon(&self) {
+        self.unpublished.set(true);
+    }
+
+    /// Sends what has gathered, at most once in half a beat. Nodes stop at the latest four fifths of the blueprint bound
+    /// after they last had the newest news, so the batch's delay keeps within the fifth that is left.
+    async fn publish_batches(&self) {
+        loop {
+            self.env.sleep(self.bounds.beat() / 2).await;
+            if self.unpublished.get() {
+                self.publish();
+            }
+        }
+    }
+
     /// The nodes that news tells of, for others to hang on: those nearest to the root.
     fn fellows(&self) -> Vec<wire::Node> {
         let seats = self.seats.borrow();
@@ -215,7 +242,7 @@
             old.is_none_or(|o| !o.same(&all[&r.server]))
         };
         if moved {
-            self.publish();
+            self.publish_soon();
         }
     }
 
@@ -226,7 +253,7 @@
             t.gone = true;
             t.heard = self.env.now();
         }
-        self.publish();
+        self.publish_soon();
     }
 
     /// The other address at which a server of this name still answers this hub's readings.
@@ -351,7 +378,7 @@
             // Nodes that come and go together are told of together.
             moved |= *self.told_nodes.borrow() != self.fellows();
             if moved {
-                self.publish();
+                self.publish_soon();
             }
         }
     }
--- a/hub/src/duty/muster.rs
+++ b/hub/src/duty/muster.rs
@@ -1,12 +1,32 @@
 use base::{Kind, seam::Part};
-use wire::{Group, Image, Spot};
+use wire::{Group, Image, Membership, Spot};
 
 use super::Duty;
 
+/// A server that made itself known and is to be written into its group.
+struct Recruit {
+    group: String,
+    server: String,
+    /// Whose address it has.
+    replaces: Option<String>,
+    spot: Spot,
+}
+
+impl Recruit {
+    fn text(&self) -> String {
+        let Self { group, server, .. } = self;
+        match &self.replaces {
+            Some(old) => format!("{server} is in the place of {old} in {group}"),
+            None => format!("{server} is of {group}"),
+        }
+    }
+}
+
 impl Duty {
-    /// Writes servers that made themselves known into the groups that are open to them. A server is written in the
-    /// place of one that had its address or has left. One that left is taken out when it can hold nothing alone; one that
-    /// fell silent never, so that the number of logs an election must read does not shrink.
+    /// Writes servers that made themselves known into the groups that are open to them, all that are known at a time in
+    /// one change. A server is written in the place of one that had its address, as that one's log is at it. One that left
+    /// is taken out when it can hold nothing alone; one that fell silent never, so that the number of logs an election
+    /// must read does not shrink.
     pub(super) async fn muster(&self) {
         loop {
             self.env.sleep(self.bounds.pulse() / 2).await;
@@ -19,21 +39,24 @@
                 let text = format!("{old} has left {group}: what it held is held by those who stay");
                 if self.agree.propose(move |image| dismiss(image, &group, &old)).await.is_ok() {
                     self.log(Part::Elect, text);
-                    self.publish();
+                    self.publish_soon();
                 }
                 continue;
             }
-            let next = open().find_map(|g| self.recruit(g));
-            let Some((group, new, old)) = next else { continue };
-            let spot = self.servers.borrow().get(&new).map(|t| t.spot(&new));
-            let text = match &old {
-                Some(o) => format!("{new} is in the place of {o} in {group}"),
-                None => format!("{new} is of {group}"),
-            };
-            let out = self.agree.propose(move |image| enrol(image, &group, &new, old.as_deref(), spot)).await;
-            if out.is_ok() {
-                self.log(Part::Elect, text);
-                self.publish();
+            let recruits: Vec<Recruit> = open().flat_map(|g| self.recruits(g)).collect();
+            let complete = self.found_complete(&image);
+            if recruits.is_empty() && complete.is_empty() {
+                continue;
+            }
+            let mut lines: Vec<String> = recruits.iter().map(Recruit::text).collect();
+            lines
+                .extend(complete.iter().map(|m| format!("the {} servers of {} are all there are", m.servers, m.group)));
+            let moved = !recruits.is_empty();
+            if self.agree.propose(move |image| enrol(image, &recruits, &complete)).await.is_ok() {
+                lines.iter().for_each(|l| self.log(Part::Elect, l));
+                if moved {
+                    self.publish_soon();
+                }
             }
         }
     }
@@ -53,35 +76,50 @@
         Some((g.name.clone(), gone.clone()))
     }
 
-    /// A server to be written in, and the one whose place it takes.
-    fn recruit(&self, g: &Group) -> Option<(String, String, Option<String>)> {
+    /// The servers to be written into a group, each with the one whose address it has.
+    fn recruits(&self, g: &Group) -> Vec<Recruit> {
         let told = self.servers.borrow();
-        let new = |n: &String| !g.servers.contains(n);
-        let (name, new) = told.iter().find(|(n, t)| t.group == g.name && !t.gone && !t.left && new(n))?;
-        let same = g.servers.iter().find(|s| told.get(*s).is_some_and(|t| t.addr == new.addr));
-        let left = || g.servers.iter().find(|s| told.get(*s).is_some_and(|t| t.left));
-        Some((g.name.clone(), name.clone(), same.or_else(left).cloned()))
+        let row = |server: &String| {
+            let new = told.get(server)?;
+            let same = g.servers.iter().find(|s| told.get(*s).is_some_and(|t| t.addr == new.addr));
+            let spot = new.spot(server);
+            Some(Recruit { group: g.name.clone(), server: server.clone(), replaces: same.cloned(), spot })
+        };
+        self.unlisted(g).iter().filter_map(row).collect()
     }
 }
 
+/// Takes a server out; whether the list that is left is complete has to be found anew.
 fn dismiss(image: &Image, group: &str, old: &str) -> Result<Image, Kind> {
     let mut image = image.clone();
     let g = image.groups.iter_mut().find(|g| g.name == group).ok_or(Kind::Conflict)?;
     g.servers.retain(|s| s != old);
     image.spots.retain(|s| s.server != old);
+    image.memberships.retain(|m| m.group != group);
     Ok(image)
 }
 
-fn enrol(image: &Image, group: &str, new: &str, old: Option<&str>, spot: Option<Spot>) -> Result<Image, Kind> {
+fn enrol(image: &Image, recruits: &[Recruit], complete: &[Membership]) -> Result<Image, Kind> {
     let mut image = image.clone();
-    let g = image.groups.iter_mut().find(|g| g.name == group).ok_or(Kind::Conflict)?;
-    if g.servers.iter().any(|s| s == new) {
-        return Err(Kind::Conflict);
+    for r in recruits {
+        let Some(g) = image.groups.iter_mut().find(|g| g.name == r.group) else { continue };
+        if g.servers.contains(&r.server) {
+            continue;
+        }
+        g.servers.retain(|s| Some(s) != r.replaces.as_ref());
+        g.servers.push(r.server.clone());
+        image.spots.retain(|s| s.server != r.server);
+        image.spots.push(r.spot.clone());
+    }
+    for m in complete {
+        // A list that changed meanwhile is looked at again.
+        let same = image.groups.iter().any(|g| g.name == m.group && g.servers.len() as u64 == m.servers);
+        image.memberships.retain(|old| old.group != m.group);
+        if same {
+            image.memberships.push(m.clone());
+        }
     }
-    g.servers.retain(|s| Some(s.as_str()) != old);
-    g.servers.push(new.into());
-    let kept: Vec<String> = image.groups.iter().flat_map(|g| g.servers.clone()).collect();
-    image.spots.retain(|s| kept.contains(&s.server) && s.server != new);
-    image.spots.extend(spot);
+    let kept: Vec<&String> = image.groups.iter().flat_map(|g| &g.servers).collect();
+    image.spots.retain(|s| kept.contains(&&s.server));
     Ok(image)
 }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -46,6 +46,8 @@
     pub no_roll: bool,
     /// Name a leader without keeping the others from receiving.
     pub no_hold: bool,
+    /// Elect from whatever servers are listed.
+    pub any_list: bool,
     /// Give a cold server's whole cap at once.
     pub no_ramp: bool,
 }
--- a/kit/src/sim/hall.rs
+++ b/kit/src/sim/hall.rs
@@ -15,13 +15,15 @@
     pub groups: usize,
     /// Whether the control node that nobody names is there from the start.
     pub fourth: bool,
+    /// A server that sends no heartbeats until it is told to.
+    pub silent: Option<&'static str>,
     pub hub: hub::Tricks,
     pub spoke: spoke::Tricks,
 }
 
 impl Default for Build {
     fn default() -> Self {
-        Self { machines: 2, groups: 2, fourth: false, hub: Default::default(), spoke: Default::default() }
+        Self { machines: 2, groups: 2, fourth: false, silent: None, hub: Default::default(), spoke: Default::default() }
     }
 }
 
@@ -111,6 +113,9 @@
                 add(s, AREAS[area], What::Server(setup));
             }
         }
+        if let Some(s) = build.silent {
+            me.bank.copy(s, |c| c.silent = true);
+        }
         let names: Vec<String> = me.procs.borrow().keys().cloned().collect();
         for n in &names {
             if n == "hx" && !build.fourth {
@@ -187,8 +192,8 @@
         self.sim.spawn(host, self.sim.hosts.borrow()[host].boot, Box::pin(task));
     }
 
-    /// Sends the first configuration, and waits until all groups are served.
-    pub fn settle(&self) {
+    /// Sends the first configuration, and waits until it is acknowledged.
+    pub fn open(&self) {
         let env = self.sim.env(self.procs.borrow()["desk"].host);
         let (nodes, plans) = (self.control.clone(), self.plans(Duration::ZERO));
         let done = Rc::new(std::cell::Cell::new(false));
@@ -196,6 +201,11 @@
         self.to_desk(async move { told.set(configure(&env, &nodes, &plans, 0, 3).await) });
         let end = self.sim.now() + Duration::from_secs(20);
         self.sim.run(end, &move || done.get());
+    }
+
+    /// Sends the first configuration, and waits until all groups are served.
+    pub fn settle(&self) {
+        self.open();
         self.sim.pass(Duration::from_secs(4));
     }
 
@@ -225,7 +235,7 @@
     }
 
     /// Carries out one word: `kill`, `dark`, `start`, `freeze`, `thaw`, `leave`, `wipe`, `deaf`, `hear`, `mute`, `loud`,
-    /// `drain`, `shut` and `open` (takes no new sessions), `quit` (leaves in order and ends), `cut>NAME` (one way), `part>NAME`, `heal>NAME`.
+    /// `silent` and `tell` (heartbeats), `drain`, `shut` and `open` (takes no new sessions), `quit` (leaves in order and ends), `cut>NAME` (one way), `part>NAME`, `heal>NAME`.
     pub fn act(&self, name: &str, word: &str) {
         let all = self.meant(name);
         let host = |n: &str| self.procs.borrow()[n].host;
@@ -267,6 +277,8 @@
                 "hear" => drop(self.bank.copy(n, |c| c.deaf = false)),
                 "mute" => drop(self.bank.copy(n, |c| c.mute = 20)),
                 "loud" => drop(self.bank.copy(n, |c| c.mute = 0)),
+                "silent" => drop(self.bank.copy(n, |c| c.silent = true)),
+                "tell" => drop(self.bank.copy(n, |c| c.silent = false)),
                 "shut" => drop(self.bank.copy(n, |c| c.shut = true)),
                 "open" => drop(self.bank.copy(n, |c| c.shut = false)),
                 "quit" => {
@@ -285,6 +297,12 @@
 
     /// Plays a timeline: the first line names the columns, each further one opens with seconds since the load began.
     pub fn play(&self, text: &str) {
+        self.settle();
+        self.play_at_once(text);
+    }
+
+    /// As [`Hall::play`], in a hall that was opened or settled already.
+    pub fn play_at_once(&self, text: &str) {
         let mut lines = text.lines().map(str::trim).filter(|l| !l.is_empty());
         let names: Vec<&str> = lines.next().expect("a line of names").split_whitespace().skip(1).collect();
         let rows: Vec<(f64, Vec<&str>)> = lines
@@ -294,7 +312,6 @@
             })
             .collect();
         let end = rows.last().map_or(0.0, |r| r.0);
-        self.settle();
         let start = self.sim.now();
         self.drive(4, Duration::from_secs_f64(end + 8.0));
         for (at, words) in rows {
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -35,6 +35,18 @@
     /// Where the servers that made themselves known stood, so that they are found before they tell it again.
     #[prost(message, repeated, tag = "12")]
     pub spots: Vec<Spot>,
+    /// Groups whose list of servers was found complete.
+    #[prost(message, repeated, tag = "20")]
+    pub memberships: Vec<Membership>,
+}
+
+/// A group whose servers make themselves known, with the number of servers at which its list was found complete.
+#[derive(Clone, PartialEq, Message)]
+pub struct Membership {
+    #[prost(string, tag = "1")]
+    pub group: String,
+    #[prost(uint64, tag = "2")]
+    pub servers: u64,
 }
 
 /// Where a server stood when it was written into its group.
@@ -187,6 +199,12 @@
         self.elects.iter().find(|e| e.group == group)
     }
 
+    /// Whether a group's list of servers was found complete, and none has been dismissed since.
+    pub fn complete(&self, group: &Group) -> bool {
+        let found = self.memberships.iter().find(|m| m.group == group.name);
+        found.is_some_and(|m| m.servers > 0 && group.servers.len() as u64 >= m.servers)
+    }
+
     /// The group a server belongs to.
     pub fn home(&self, server: &str) -> Option<&Group> {
         self.groups.iter().find(|g| g.servers.iter().any(|s| s == server))
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,7 +5,7 @@
 mod message;
 pub mod relay;
 
-pub use image::{Doorway, Elect, Group, Home, Image, Limits, Log, Spot, Taken};
+pub use image::{Doorway, Elect, Group, Home, Image, Limits, Log, Membership, Spot, Taken};
 pub use link::{Broken, In, Out, decode, open};
 pub use message::*;
 pub use prost::Message;
