News without what only operators and control nodes read; elections are written down together

Cause: on the grown sites each news carried the operators' own form of 1500 routes to 77 children over a 100 Mbit link, and each leader that was seen was written down by a change of its own that carries the whole image. Pulses wait behind both. News of servers waits longer where sending it takes longer.

--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use base::{
-    Kind,
     seam::Part,
     talk::{Act, Naming},
     words::Position,
@@ -216,16 +215,7 @@
         let (index, from) = (p.place.index, p.place.line);
         let put =
             Elect { group: g.name.clone(), line: p.line, server: p.name.clone(), from_line: from, from_index: index };
-        let out = self.agree.propose(move |image| {
-            if image.elect(&put.group).cloned() != before {
-                return Err(Kind::Conflict);
-            }
-            let mut image = image.clone();
-            image.elects.retain(|e| e.group != put.group);
-            image.elects.push(put);
-            Ok(image)
-        });
-        out.await.is_ok()
+        self.write_elect(put, before).await
     }
 
     /// Grants for a server that was seen leading, once no grant for another can stand.
@@ -357,8 +347,9 @@
         }
         if !self.list_stands(g) {
             // A leader that crashed comes back with its log: waiting is safe.
-            return self.explain(&g.name, "a server may not be listed yet; no election");
+            return self.wait_for_list(&g.name);
         }
+        self.edit(&g.name, |s| s.waits_for_list = false);
         let line = self.newest(g) + 1;
         self.log(Part::Elect, format!("new leader needed for {}", g.name));
         if self.tricks.no_hold {
@@ -418,12 +409,12 @@
         self.await_leader(g, &best, line).await;
     }
 
-    /// Notes why no election is held, once for each reason.
-    fn explain(&self, group: &str, why: &str) {
-        if self.stand(group).why != why {
-            self.log(Part::Elect, format!("{group}: {why}"));
-            self.edit(group, |s| s.why = why.into());
+    /// Notes that an election waits until the list of a group's servers is complete.
+    fn wait_for_list(&self, group: &str) {
+        if !self.stand(group).waits_for_list {
+            self.log(Part::Elect, format!("{group}: a server may not be listed yet; no election"));
         }
+        self.edit(group, |s| s.waits_for_list = true);
     }
 
     /// Waits for the named server to be seen leading.
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -37,6 +37,8 @@
     pub relieve: Option<Duration>,
     /// A naming in this term got no clear answer: it may still be carried out.
     pub unclear: bool,
+    /// An election is due, and the list of servers is not known to be complete.
+    pub waits_for_list: bool,
     /// Why the next election is held.
     pub why: String,
 }
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -1,6 +1,7 @@
 //! What the leading hub does: knows servers and nodes as they tell, gives grants, elects leaders, sends news.
 
 mod crown;
+mod election_record;
 mod lead;
 mod ledger;
 mod membership;
@@ -25,10 +26,11 @@
     seam::{Env, Part},
     talk::Manner,
 };
-use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
+use wire::{Beat, BeatReturn, Image, Mark, Message, News, relay::Relay};
 
 use crate::{agree::Agree, run::Tricks};
 
+use election_record::Pending;
 pub use lead::Standing;
 use ledger::Ledger;
 use membership::Listed;
@@ -39,6 +41,9 @@
 /// How many nodes news tells of at most.
 const FELLOWS: usize = 64;
 
+/// How many bytes of news the leading hub sends in a second at most, but for what is urgent.
+const NEWS_BYTES_PER_S: u32 = 4 << 20;
+
 /// The leading hub's desk; empty on the others.
 pub struct Duty {
     pub(crate) env: Env,
@@ -59,6 +64,8 @@
     rolls: RefCell<BTreeMap<String, Roll>>,
     phases: RefCell<BTreeMap<String, Phase>>,
     listed: RefCell<Listed>,
+    /// Elections to be written down.
+    pending_elects: RefCell<Vec<Pending>>,
     /// The state moved since the newest news.
     unpublished: Cell<bool>,
     /// Servers whose address turned the hub away at once, twice in a row.
@@ -100,6 +107,7 @@
             rolls: RefCell::default(),
             phases: RefCell::default(),
             listed: RefCell::default(),
+            pending_elects: RefCell::default(),
             unpublished: Cell::default(),
             refused: RefCell::default(),
             term: Cell::new(0),
@@ -134,9 +142,11 @@
             let me = self.clone();
             let muster = self.env.spawn(async move { me.muster().await });
             let me = self.clone();
+            let elects = self.env.spawn(async move { me.write_elects().await });
+            let me = self.clone();
             let batches = self.env.spawn(async move { me.publish_batches().await });
             self.agree.bell.until(|| (self.agree.image().is_none() || self.agree.term().0 != term).then_some(())).await;
-            drop((probes, tends, watch, roll, muster, batches));
+            drop((probes, tends, watch, roll, muster, elects, batches));
             self.standings.borrow_mut().clear();
             self.seen.borrow_mut().clear();
         }
@@ -156,6 +166,7 @@
         self.rolls.borrow_mut().clear();
         self.phases.borrow_mut().clear();
         self.listed.borrow_mut().clear();
+        self.pending_elects.borrow_mut().clear();
         self.refused.borrow_mut().clear();
         self.talks.borrow_mut().clear();
         // What was told to the hub before is in the news that came by; the rest is told again soon.
@@ -192,7 +203,7 @@
         self.count.set(self.count.get() + 1);
         let news = News {
             mark: Some(self.mark()),
-            image: Some((*image).clone()),
+            image: Some(image.for_nodes()),
             servers: self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect(),
             nodes: self.fellows(),
         };
@@ -206,17 +217,24 @@
         self.unpublished.set(true);
     }
 
-    /// Sends what has gathered, at most once in half a beat. Nodes stop at the latest four fifths of the blueprint bound
-    /// after they last had the newest news, so the batch's delay keeps within the fifth that is left.
+    /// Sends what has gathered, in batches. The delay adds to the time that a node may go on without newer news, four fifths
+    /// of the blueprint bound; together they keep within the drain bound. A new set or an emptied area never waits here.
     async fn publish_batches(&self) {
         loop {
-            self.env.sleep(self.bounds.beat() / 2).await;
+            self.env.sleep(self.batch_span()).await;
             if self.unpublished.get() {
                 self.publish();
             }
         }
     }
 
+    /// How long news gathers: half a beat, and longer where sending it to all nodes takes longer, up to two beats.
+    fn batch_span(&self) -> Duration {
+        let bytes = self.relay.latest().map_or(0, |n| n.encoded_len()) * self.seats.borrow().len();
+        let sending = Duration::from_secs(bytes as u64) / NEWS_BYTES_PER_S;
+        sending.clamp(self.bounds.beat() / 2, self.bounds.beat() * 2)
+    }
+
     /// The nodes that news tells of, for others to hang on: those nearest to the root.
     fn fellows(&self) -> Vec<wire::Node> {
         let seats = self.seats.borrow();
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -199,6 +199,23 @@
         self.elects.iter().find(|e| e.group == group)
     }
 
+    /// The part that nodes act on: without the operators' own forms, and without what only control nodes agree by.
+    pub fn for_nodes(&self) -> Image {
+        let doorway = |d: &Doorway| Doorway { note: String::new(), ..d.clone() };
+        let group = |g: &Group| Group { note: String::new(), ..g.clone() };
+        Image {
+            doorways: self.doorways.iter().map(doorway).collect(),
+            groups: self.groups.iter().map(group).collect(),
+            limits: self.limits,
+            emptied: self.emptied.clone(),
+            elects: self.elects.clone(),
+            logs: self.logs.clone(),
+            sequence: self.sequence,
+            number: self.number,
+            ..Image::default()
+        }
+    }
+
     /// Whether a group's list of servers was found complete, and none has been dismissed since.
     pub fn complete(&self, group: &Group) -> bool {
         let found = self.memberships.iter().find(|m| m.group == group.name);
