--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -305,6 +305,8 @@
         match out {
             Ok(200) => Some(200),
             Ok(code) => {
+                // Only a refusal is sure not to be carried out.
+                self.edit(&g.name, |s| s.unclear |= code >= 500);
                 self.log(Part::Elect, format!("the platform answered {code} to naming {server}"));
                 Some(code)
             }
