Merge elections that rest on complete lists of servers only

Two flags told of unpublished news: one that must go out before any node is confirmed (overdue), one that waits for the next batch (unpublished).

--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -35,6 +35,10 @@
     pub dim: Option<Duration>,
     /// Until when the leader is to be relieved, as an operator takes it out.
     pub relieve: Option<Duration>,
+    /// A naming in this term got no clear answer: it may still be carried out.
+    pub unclear: bool,
+    /// An election is due, and the list of servers is not known to be complete.
+    pub waits_for_list: bool,
     /// Why the next election is held.
     pub why: String,
 }
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -1,8 +1,10 @@
 //! What the leading hub does: knows servers and nodes as they tell, gives grants, elects leaders, sends news.
 
 mod crown;
+mod election_record;
 mod lead;
 mod ledger;
+mod membership;
 mod muster;
 mod probe;
 mod registry;
@@ -30,8 +32,10 @@
 
 use crate::{consensus::Consensus, operator, run::Tricks};
 
+use election_record::Pending;
 pub use lead::Standing;
 use ledger::Ledger;
+use membership::Listed;
 use probe::{Seen, Talk};
 use registry::{Seat, Told};
 use roll::{Phase, Roll};
@@ -61,12 +65,17 @@
     seen: RefCell<BTreeMap<String, Seen>>,
     rolls: RefCell<BTreeMap<String, Roll>>,
     phases: RefCell<BTreeMap<String, Phase>>,
+    listed: RefCell<Listed>,
+    /// Elections to be written down.
+    pending_elects: RefCell<Vec<Pending>>,
+    /// The state moved since the newest news.
+    unpublished: Cell<bool>,
     /// Servers whose address turned the hub away at once, twice in a row.
     refused: RefCell<BTreeSet<String>>,
     term: Cell<u64>,
     count: Cell<u64>,
     /// A change was not published, as the lease had lapsed; it goes out before any node is confirmed again.
-    unpublished: Cell<bool>,
+    overdue: Cell<bool>,
     /// Until when servers are read more often, as somebody waits for what is read.
     urgent: Cell<Duration>,
     /// Orders under way.
@@ -104,10 +113,13 @@
             seen: RefCell::default(),
             rolls: RefCell::default(),
             phases: RefCell::default(),
+            listed: RefCell::default(),
+            pending_elects: RefCell::default(),
+            unpublished: Cell::default(),
             refused: RefCell::default(),
             term: Cell::new(0),
             count: Cell::new(0),
-            unpublished: Cell::default(),
+            overdue: Cell::default(),
             urgent: Cell::default(),
             orders: Permits::new(operator::MOST_ORDERS),
             listed_zones: place.zones.clone(),
@@ -139,8 +151,12 @@
             let roll = self.env.spawn(async move { me.roll().await });
             let me = self.clone();
             let muster = self.env.spawn(async move { me.muster().await });
+            let me = self.clone();
+            let elects = self.env.spawn(async move { me.write_elects().await });
+            let me = self.clone();
+            let batches = self.env.spawn(async move { me.publish_batches().await });
             self.agree.bell.until(|| (self.agree.image().is_none() || self.agree.term().0 != term).then_some(())).await;
-            drop((probes, tends, watch, roll, muster));
+            drop((probes, tends, watch, roll, muster, elects, batches));
             self.standings.borrow_mut().clear();
             self.seen.borrow_mut().clear();
         }
@@ -151,6 +167,7 @@
         // Marks rise within a term, whatever was published in it before.
         let before = self.relay.latest().filter(|news| news.mark.term == term);
         self.count.set(before.map_or(0, |news| news.mark.count));
+        self.overdue.set(false);
         self.unpublished.set(false);
         let lapse = self.env.now() + self.bounds.lapse();
         *self.ledger.borrow_mut() = match self.agree.inherited_leases() {
@@ -162,6 +179,8 @@
         self.seen.borrow_mut().clear();
         self.rolls.borrow_mut().clear();
         self.phases.borrow_mut().clear();
+        self.listed.borrow_mut().clear();
+        self.pending_elects.borrow_mut().clear();
         self.refused.borrow_mut().clear();
         self.talks.borrow_mut().clear();
         // What was told to the hub before is in the news that came by; the rest is told again soon.
@@ -191,14 +210,15 @@
     /// Sends news of the present state down the tree.
     pub fn publish(&self) {
         let Some(image) = self.agree.image() else { return };
-        self.unpublished.set(!self.agree.leads());
-        if self.unpublished.get() {
+        self.overdue.set(!self.agree.leads());
+        if self.overdue.get() {
             return;
         }
+        self.unpublished.set(false);
         self.count.set(self.count.get() + 1);
         let news = News {
             mark: Some(self.mark()),
-            image: Some(image.without_orders()),
+            image: Some((*image).clone()),
             servers: self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect(),
             nodes: self.fellows(),
         };
@@ -207,6 +227,27 @@
         self.bell.ring();
     }
 
+    /// Sends news with the next batch: what servers tell of themselves is not news at every heartbeat.
+    pub(super) fn publish_soon(&self) {
+        self.unpublished.set(true);
+    }
+
+    /// Sends what has gathered, in batches. The delay adds to the time that a node may go on without newer news, four fifths
+    /// of the blueprint bound; together they keep within the drain bound. A new set or an emptied area never waits here.
+    async fn publish_batches(&self) {
+        loop {
+            self.env.sleep(self.batch_span()).await;
+            if self.unpublished.get() {
+                self.publish();
+            }
+        }
+    }
+
+    /// How long news gathers: half a beat.
+    fn batch_span(&self) -> Duration {
+        self.bounds.beat() / 2
+    }
+
     /// The nodes that news tells of, for others to hang on: those nearest to the root.
     fn fellows(&self) -> Vec<wire::Node> {
         let seats = self.seats.borrow();
@@ -232,7 +273,7 @@
             old.is_none_or(|o| !o.same(&all[&r.server]))
         };
         if moved {
-            self.publish();
+            self.publish_soon();
         }
     }
 
@@ -243,7 +284,7 @@
             t.gone = true;
             t.heard = self.env.now();
         }
-        self.publish();
+        self.publish_soon();
     }
 
     /// The other address at which a server of this name still answers this hub's readings.
@@ -277,7 +318,7 @@
             return None;
         }
         let image = self.agree.image()?;
-        if self.unpublished.get() {
+        if self.overdue.get() {
             self.publish();
         }
         let now = self.env.now();
@@ -375,7 +416,7 @@
             // Nodes that come and go together are told of together.
             moved |= *self.told_nodes.borrow() != self.fellows();
             if moved {
-                self.publish();
+                self.publish_soon();
             }
         }
     }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -50,6 +50,8 @@
     pub no_joint: bool,
     /// Form the first image at any start.
     pub form_again: bool,
+    /// Elect from whatever servers are listed.
+    pub any_list: bool,
     /// Give a cold server's whole cap at once.
     pub no_ramp: bool,
     /// Judge an order from the newest state at hand, before a majority confirmed it.
--- a/hub/tests/orders.rs
+++ b/hub/tests/orders.rs
@@ -35,7 +35,7 @@
     // Its number is not above what it builds on: it was never taken.
     assert_eq!(order(20, 20, "a").recall(&image, Some(20)), Memory::New);
     assert_eq!(order(20, 21, "a").recall(&image, Some(20)), Memory::New);
-    let news = image.without_orders();
+    let news = image.for_nodes();
     assert!(news.encoded_len() < 16, "the memory stays with the control nodes");
 }
 
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -45,6 +45,19 @@
     /// While the membership changes: the members before, of which a quorum needs a majority too.
     #[prost(message, repeated, tag = "21")]
     pub outgoing_members: Vec<Member>,
+    /// Groups whose list of servers was found complete.
+    #[prost(message, repeated, tag = "20")]
+    pub memberships: Vec<Membership>,
+}
+
+/// A group whose servers make themselves known, with the number of servers at which its list was found complete.
+#[derive(Clone, PartialEq, Message)]
+pub struct Membership {
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// 0 once a server was taken off since.
+    #[prost(uint64, tag = "2")]
+    pub servers: u64,
 }
 
 /// Where a server stood when it was written into its group.
@@ -181,11 +194,6 @@
 }
 
 impl Image {
-    /// The state without the memory of orders, which only control nodes need.
-    pub fn without_orders(&self) -> Self {
-        Self { taken: Vec::new(), orders: Vec::new(), forgotten: 0, ..self.clone() }
-    }
-
     /// A server's log as quorums know it.
     pub fn log(&self, server: &str) -> Option<&Log> {
         self.logs.iter().find(|l| l.server == server)
@@ -206,6 +214,28 @@
         self.elects.iter().find(|e| e.group == group)
     }
 
+    /// The part that nodes act on: without the operators' own forms, and without what only control nodes agree by.
+    pub fn for_nodes(&self) -> Image {
+        let doorway = |d: &Doorway| Doorway { note: String::new(), ..d.clone() };
+        let group = |g: &Group| Group { note: String::new(), ..g.clone() };
+        Image {
+            doorways: self.doorways.iter().map(doorway).collect(),
+            groups: self.groups.iter().map(group).collect(),
+            limits: self.limits,
+            emptied: self.emptied.clone(),
+            elects: self.elects.clone(),
+            logs: self.logs.clone(),
+            sequence: self.sequence,
+            ..Image::default()
+        }
+    }
+
+    /// Whether a group's list of servers was found complete, and none has been dismissed since.
+    pub fn complete(&self, group: &Group) -> bool {
+        let found = self.memberships.iter().find(|m| m.group == group.name);
+        found.is_some_and(|m| m.servers > 0 && group.servers.len() as u64 >= m.servers)
+    }
+
     /// The group a server belongs to.
     pub fn home(&self, server: &str) -> Option<&Group> {
         self.groups.iter().find(|g| g.servers.iter().any(|s| s == server))
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod relay;
 
 pub use consensus::{Heartbeat, HeartbeatAck, VoteRequest, VoteResponse};
-pub use image::{Doorway, Elect, Group, Image, Limits, Log, Member, Spot, Taken};
+pub use image::{Doorway, Elect, Group, Image, Limits, Log, Member, Membership, Spot, Taken};
 pub use link::{Broken, In, Out, decode, open};
 pub use message::*;
 pub use news::Snapshot;
--- a/wire/src/news.rs
+++ b/wire/src/news.rs
@@ -80,22 +80,9 @@
     list.extend(all.into_values());
 }
 
-/// What nodes need of an image, in order. The roster, what was taken before, where servers stood and the operators' own
-/// forms stay with the control nodes.
-fn for_nodes(image: Image) -> Image {
-    let mut image = Image {
-        members: Vec::new(),
-        outgoing_members: Vec::new(),
-        taken: Vec::new(),
-        orders: Vec::new(),
-        forgotten: 0,
-        spots: Vec::new(),
-        number: 0,
-        note: String::new(),
-        ..image
-    };
-    image.doorways.iter_mut().for_each(|doorway| doorway.note.clear());
-    image.groups.iter_mut().for_each(|group| group.note.clear());
+/// What nodes need of an image, in order.
+fn for_nodes(image: &Image) -> Image {
+    let mut image = image.for_nodes();
     sort(&mut image.doorways);
     sort(&mut image.groups);
     sort(&mut image.emptied);
@@ -110,7 +97,7 @@
         let News { mark, image, mut servers, mut nodes } = news;
         sort(&mut servers);
         sort(&mut nodes);
-        Some(Self { mark: mark?, image: Rc::new(for_nodes(image?)), servers, nodes })
+        Some(Self { mark: mark?, image: Rc::new(for_nodes(&image?)), servers, nodes })
     }
 
     /// As it is sent whole.
