Leases name the run of the process that holds them; fencing tokens rise with each naming

Cause (read): a held-up heartbeat of a node's earlier run could take the next run's lease on a primary back, so another primary could be named while it stood; and a naming whose answer was lost could take effect after a later naming of another server in the same term, as both bore the term as fence.

Now leases carry the run's number, also those left to a successor, and a fence is the term and a count that rises when another server is named. Ruled out: dropping heartbeats by run at the leader (runs have no order). hub/src/duty/ledger.rs became hub/src/leases.rs with the field's names.

--- a/hub/src/duty/crown.rs
+++ b/hub/src/duty/crown.rs
@@ -12,6 +12,9 @@
 
 use super::Duty;
 
+/// How many bits of a fencing token count the namings within a term.
+const NAMING_BITS: u32 = 20;
+
 /// What a server that confirms showed lately.
 struct Sighted {
     name: String,
@@ -131,7 +134,7 @@
         if st.server.is_empty() {
             // Nobody says that it leads, and no node holds a grant.
             let known = g.servers.len() > 1 && now > self.agree.term().1 + self.bounds.missed() * 2;
-            if known && prim.is_none() && self.ledger.borrow().leads_out(&g.name, now) {
+            if known && prim.is_none() && self.leases.borrow().primary_free(&g.name, now) {
                 self.succeed(g, "").await;
             }
             return;
@@ -226,7 +229,7 @@
         let noted = image.elect(&g.name).cloned();
         // Nothing was ever granted for a group of which nothing is written down.
         let known = noted.as_ref().is_none_or(|e| e.server == p.name && e.line == p.line);
-        let out = || self.ledger.borrow().leads_back(&g.name, self.env.now(), known) || self.tricks.no_wait;
+        let out = || self.leases.borrow().primary_handed_back(&g.name, self.env.now(), known) || self.tricks.no_wait;
         for _ in 0..20 {
             if out() {
                 break;
@@ -292,6 +295,18 @@
         self.bell.ring();
     }
 
+    /// A number that rises with the term and with each naming of another server in it: a call whose answer was lost may
+    /// still come after a later one, and is then refused.
+    fn fencing_token(&self, group: &str, server: &str) -> u64 {
+        let mut all = self.namings.borrow_mut();
+        let (count, last) = all.entry(group.into()).or_default();
+        if last != server {
+            *count += 1;
+            *last = server.into();
+        }
+        self.term.get() << NAMING_BITS | *count
+    }
+
     /// Calls the platform; the answer's code.
     async fn call_name(&self, g: &Group, server: &str) -> Option<u16> {
         let (addr, manner) = (self.platform.get()?, self.manner.clone()?);
@@ -299,7 +314,7 @@
             group: g.name.clone(),
             server: server.into(),
             holder: self.relay.who.name.clone(),
-            fence: self.term.get(),
+            fence: self.fencing_token(&g.name, server),
         };
         let out = manner.name(&self.env, addr, &naming, self.bounds.call()).await;
         match out {
@@ -489,7 +504,7 @@
         let now = self.env.now();
         let seats = self.seats.borrow();
         let late = |n: &String| seats.get(n).is_none_or(|s| now.saturating_sub(s.heard) > self.bounds.beat() * 2);
-        self.ledger.borrow().holders(group, now).iter().any(late)
+        self.leases.borrow().holders(group, now).iter().any(late)
     }
 
     /// Hands over where some other server can't be kept from receiving: the old leader is told to follow, so that it
--- a/hub/src/duty/lead.rs
+++ b/hub/src/duty/lead.rs
@@ -311,7 +311,7 @@
             self.log(Part::Elect, format!("new leader needed for {}: {why}", g.name));
             self.relay.call();
             self.bell.ring();
-            while !self.ledger.borrow().leads_out(&g.name, self.env.now()) && !self.tricks.no_wait {
+            while !self.leases.borrow().primary_free(&g.name, self.env.now()) && !self.tricks.no_wait {
                 self.env.sleep(self.bounds.pulse() / 4).await;
                 if !self.agree.leads() {
                     return;
--- a/hub/src/duty/mod.rs
+++ b/hub/src/duty/mod.rs
@@ -3,7 +3,6 @@
 mod crown;
 mod election_record;
 mod lead;
-mod ledger;
 mod membership;
 mod muster;
 mod probe;
@@ -30,11 +29,15 @@
 };
 use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
 
-use crate::{consensus::Consensus, operator, run::Tricks};
+use crate::{
+    consensus::Consensus,
+    leases::{self, Holder, LeaseTable},
+    operator,
+    run::Tricks,
+};
 
 use election_record::Pending;
 pub use lead::Standing;
-use ledger::Ledger;
 use membership::Listed;
 use probe::{Seen, Talk};
 use registry::{Seat, Told};
@@ -58,9 +61,11 @@
     talks: RefCell<BTreeMap<String, Talk>>,
     servers: RefCell<BTreeMap<String, Told>>,
     seats: RefCell<BTreeMap<String, Seat>>,
+    /// How often another server than before was named for a group in this term, and the last one.
+    namings: RefCell<BTreeMap<String, (u64, String)>>,
     /// The nodes that the newest news told of.
     told_nodes: RefCell<Vec<wire::Node>>,
-    ledger: RefCell<Ledger>,
+    leases: RefCell<LeaseTable>,
     standings: RefCell<BTreeMap<String, Standing>>,
     seen: RefCell<BTreeMap<String, Seen>>,
     rolls: RefCell<BTreeMap<String, Roll>>,
@@ -107,8 +112,9 @@
             talks: RefCell::default(),
             servers: RefCell::default(),
             seats: RefCell::default(),
+            namings: RefCell::default(),
             told_nodes: RefCell::default(),
-            ledger: RefCell::default(),
+            leases: RefCell::default(),
             standings: RefCell::default(),
             seen: RefCell::default(),
             rolls: RefCell::default(),
@@ -129,7 +135,7 @@
         let weak = Rc::downgrade(&me);
         me.agree.report_leases(move || {
             let me = weak.upgrade();
-            me.map(|m| m.ledger.borrow().left(m.env.now())).unwrap_or_default()
+            me.map(|m| m.leases.borrow().left(m.env.now())).unwrap_or_default()
         });
         me
     }
@@ -170,9 +176,9 @@
         self.overdue.set(false);
         self.unpublished.set(false);
         let lapse = self.env.now() + self.bounds.lapse();
-        *self.ledger.borrow_mut() = match self.agree.inherited_leases() {
-            Some(i) => Ledger::heir(lapse, i.at, &i.leases),
-            None => Ledger::new(lapse),
+        *self.leases.borrow_mut() = match self.agree.inherited_leases() {
+            Some(i) => LeaseTable::inherit(lapse, i.at, &i.leases),
+            None => LeaseTable::new(lapse),
         };
         self.standings.borrow_mut().clear();
         self.seats.borrow_mut().clear();
@@ -181,6 +187,7 @@
         self.phases.borrow_mut().clear();
         self.listed.borrow_mut().clear();
         self.pending_elects.borrow_mut().clear();
+        self.namings.borrow_mut().clear();
         self.refused.borrow_mut().clear();
         self.talks.borrow_mut().clear();
         // What was told to the hub before is in the news that came by; the rest is told again soon.
@@ -329,7 +336,7 @@
                 seats.remove(&beat.name);
             }
         }
-        self.ledger.borrow_mut().told(&beat, now);
+        self.leases.borrow_mut().told(&beat, now);
         if beat.hub {
             self.agree.met(&beat.peer);
         }
@@ -358,6 +365,7 @@
 
     fn grant_leads(&self, beat: &Beat, image: &Image, now: Duration) -> Vec<wire::Lead> {
         let standings = self.standings.borrow();
+        let holder = Holder { node: &beat.name, boot: beat.boot, nonce: beat.nonce };
         let mut out = Vec::new();
         for (group, st) in standings.iter().filter(|(_, s)| s.granting) {
             let server = match image.groups.iter().find(|g| g.name == *group) {
@@ -367,7 +375,7 @@
                     _ => continue,
                 },
             };
-            self.ledger.borrow_mut().lead_given(group, &beat.name, beat.nonce, now + self.bounds.lapse());
+            self.leases.borrow_mut().give_primary(group, holder, now + self.bounds.lapse());
             out.push(wire::Lead {
                 group: group.clone(),
                 server,
@@ -380,16 +388,17 @@
 
     fn grant_shares(&self, beat: &Beat, image: &Image, now: Duration) -> Vec<wire::Share> {
         let mut out = Vec::new();
-        let mut ledger = self.ledger.borrow_mut();
+        let mut table = self.leases.borrow_mut();
+        let holder = Holder { node: &beat.name, boot: beat.boot, nonce: beat.nonce };
         let until = now + self.bounds.lapse();
         for g in &image.groups {
             for s in &g.servers {
                 let cold = self.servers.borrow().get(s).map_or(0.0, |t| t.cold);
                 let cold = if self.tricks.no_ramp { 0.0 } else { cold };
-                let cap = ledger::cap(g.cap, cold);
+                let cap = leases::cap(g.cap, cold);
                 let count = match self.tricks.no_ledger {
                     true => cap,
-                    false => ledger.share(s, (&beat.name, beat.nonce), cap, now, until, g.confirms),
+                    false => table.share(s, holder, cap, now, until, g.confirms),
                 };
                 out.push(wire::Share { server: s.clone(), count, span: self.bounds.grant().as_millis() as u64 });
             }
--- a/hub/src/duty/show.rs
+++ b/hub/src/duty/show.rs
@@ -108,7 +108,7 @@
 
     /// Which shares are out.
     pub fn grant_rows(&self) -> Return {
-        let rows = self.ledger.borrow().out(self.env.now());
+        let rows = self.leases.borrow().out(self.env.now());
         json(rows.into_iter().map(|(server, node, count)| GrantRow { server, node, count }).collect())
     }
 }
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -5,6 +5,7 @@
 mod duty;
 mod entrance;
 mod ground;
+pub mod leases;
 pub mod operator;
 mod reports;
 pub mod rescue;
--- /dev/null
+++ b/hub/tests/leases.rs
@@ -0,0 +1,57 @@
+//! Leases and the runs of nodes' processes that hold them.
+
+use std::time::Duration;
+
+use hub::leases::{Holder, LeaseTable};
+use wire::{Beat, Held};
+
+const SPAN: Duration = Duration::from_secs(2);
+const NOW: Duration = Duration::from_secs(100);
+
+fn holder(boot: u64, nonce: u64) -> Holder<'static> {
+    Holder { node: "n1", boot, nonce }
+}
+
+fn beat(boot: u64, heard: u64) -> Beat {
+    Beat { name: "n1".into(), boot, heard, ..Beat::default() }
+}
+
+fn table() -> LeaseTable {
+    let mut table = LeaseTable::new(Duration::ZERO);
+    table.told(&Beat { shares: vec![Held { server: "s1".into(), want: 9, ..Held::default() }], ..beat(2, 0) }, NOW);
+    table.give_primary("g1", holder(2, 5), NOW + SPAN);
+    assert_eq!(table.share("s1", holder(2, 5), 9, NOW, NOW + SPAN, false), 9);
+    table
+}
+
+/// The last heartbeat of an earlier run is held up and comes after the next run was given its leases.
+#[test]
+fn word_of_an_earlier_run_takes_no_lease_of_the_next_run_back() {
+    let mut table = table();
+    table.told(&Beat { leaving: true, ..beat(1, 900) }, NOW);
+    table.told(&beat(1, 900), NOW);
+    let empty = Held { server: "s1".into(), ..Held::default() };
+    table.told(&Beat { shares: vec![empty], ..beat(1, 900) }, NOW);
+    assert!(!table.primary_free("g1", NOW));
+    assert_eq!(table.out(NOW), [("s1".to_string(), "n1".to_string(), 9)]);
+}
+
+#[test]
+fn a_run_hands_its_own_leases_back() {
+    let mut table = table();
+    table.told(&beat(2, 6), NOW);
+    assert!(table.primary_free("g1", NOW));
+    let mut table = self::table();
+    table.told(&Beat { leaving: true, ..beat(2, 0) }, NOW);
+    assert!(table.primary_free("g1", NOW) && table.out(NOW).is_empty());
+}
+
+#[test]
+fn leases_run_out_and_are_inherited_with_the_run_that_holds_them() {
+    let table = table();
+    let left = table.left(NOW);
+    let mut next = LeaseTable::inherit(NOW, NOW, &left);
+    next.told(&Beat { leaving: true, ..beat(1, 900) }, NOW);
+    assert!(!next.primary_free("g1", NOW + SPAN));
+    assert!(next.primary_free("g1", NOW + SPAN + Duration::from_millis(2)));
+}
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -390,4 +390,7 @@
     /// Milliseconds until it has run out for sure.
     #[prost(uint64, tag = "4")]
     pub left: u64,
+    /// The run of the node's process that it was given to.
+    #[prost(uint64, tag = "5")]
+    pub boot: u64,
 }
