--- a/hub/src/door.rs
+++ b/hub/src/door.rs
@@ -16,29 +16,29 @@
 /// One operator's or server's connection.
 pub struct Desk {
     pub relay: Rc<Relay>,
-    pub agree: Rc<Consensus>,
+    pub consensus: Rc<Consensus>,
 }
 
 impl Session for Desk {
     fn call(&self, ask: Ask) -> Local<Return> {
-        let (relay, agree) = (self.relay.clone(), self.agree.clone());
+        let (relay, consensus) = (self.relay.clone(), self.consensus.clone());
         Box::pin(async move {
             match ask.parts()[..] {
-                ["status"] => status(&relay, &agree),
+                ["status"] => status(&relay, &consensus),
                 ["db", ..] => refuse(Kind::NoPath, "callers are served by spokes", None),
-                ["metrics"] => metrics(&relay, &agree),
+                ["metrics"] => metrics(&relay, &consensus),
                 _ => relay.pass(ask).await,
             }
         })
     }
 }
 
-fn metrics(relay: &Relay, agree: &Consensus) -> Return {
-    let empty = agree.empty();
-    let sequence = agree.image().map_or(0, |i| i.sequence);
+fn metrics(relay: &Relay, consensus: &Consensus) -> Return {
+    let empty = consensus.empty();
+    let sequence = consensus.image().map_or(0, |i| i.sequence);
     metrics::page(&[
-        ("hub_leads", "gauge", "1 while this hub leads for sure", u64::from(agree.leads())),
-        ("hub_term", "gauge", "the newest term this hub knows", agree.term().0),
+        ("hub_leads", "gauge", "1 while this hub leads for sure", u64::from(consensus.leads())),
+        ("hub_term", "gauge", "the newest term this hub knows", consensus.term().0),
         ("hub_blank", "gauge", "1 while its disk's memory does not count", u64::from(empty)),
         ("hub_sequence", "gauge", "the newest doorway set's sequence, while leading", sequence),
         ("hub_children", "gauge", "nodes whose parent it is", relay.children().len() as u64),
@@ -47,16 +47,16 @@
     ])
 }
 
-fn status(relay: &Relay, agree: &Consensus) -> Return {
+fn status(relay: &Relay, consensus: &Consensus) -> Return {
     let (parent, depth) = relay.place();
-    let empty = agree.empty();
+    let empty = consensus.empty();
     let text = format!(
         "{{\"name\":\"{}\",\"area\":\"{}\",\"hub\":true,\"leads\":{},\"leader\":\"{}\",\"term\":{},\"blank\":{},\"fed\":{},\"parent\":\"{}\",\"depth\":{},\"children\":{},\"corrupt\":{}}}",
         relay.who.name,
         relay.who.area,
-        agree.leads(),
-        agree.leader(),
-        agree.term().0,
+        consensus.leads(),
+        consensus.leader(),
+        consensus.term().0,
         empty,
         relay.fed(),
         parent,
--- a/hub/src/entrance.rs
+++ b/hub/src/entrance.rs
@@ -30,7 +30,7 @@
     pub env: Env,
     pub bounds: Bounds,
     pub relay: Rc<Relay>,
-    pub agree: Rc<Consensus>,
+    pub consensus: Rc<Consensus>,
 }
 
 impl Entrance {
@@ -73,7 +73,7 @@
     }
 
     fn way(&self) -> Way {
-        if self.agree.leads() {
+        if self.consensus.leads() {
             return Way::Here;
         }
         match self.relay.place() {
--- a/hub/src/ground.rs
+++ b/hub/src/ground.rs
@@ -30,8 +30,8 @@
         let mut tree = Tree::new(env);
         if let Some(addr) = given.control {
             let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(addr).await?)));
-            let (relay, agree) = (hub.relay.clone(), hub.agree.clone());
-            let entrance = Rc::new(Entrance { env: env.clone(), bounds: place.bounds.clone(), relay, agree });
+            let (relay, consensus) = (hub.relay.clone(), hub.consensus.clone());
+            let entrance = Rc::new(Entrance { env: env.clone(), bounds: place.bounds.clone(), relay, consensus });
             let orders = Permits::new(MOST_ORDERS);
             let make = Rc::new(move || {
                 let entrance = entrance.clone();
--- a/hub/src/duty/election_record.rs
+++ b/hub/src/leadership/election_record.rs
@@ -4,7 +4,7 @@
 use futures::channel::oneshot;
 use wire::{Elect, Image};
 
-use super::Duty;
+use super::Leadership;
 
 /// An election that waits to be written down.
 pub struct Pending {
@@ -14,7 +14,7 @@
     done: oneshot::Sender<bool>,
 }
 
-impl Duty {
+impl Leadership {
     /// Writes an election down in the place of an older one; false if another stands there by now or its fate is unknown.
     pub(super) async fn write_elect(&self, new: Elect, old: Option<Elect>) -> bool {
         let (done, written) = oneshot::channel();
@@ -30,7 +30,7 @@
             self.bell.until(waiting).await;
             let batch = std::mem::take(&mut *self.pending_elects.borrow_mut());
             let changes: Vec<_> = batch.iter().map(|p| (p.new.clone(), p.old.clone())).collect();
-            let image = self.agree.propose(move |image| Ok(replace(image, &changes))).await;
+            let image = self.consensus.propose(move |image| Ok(replace(image, &changes))).await;
             for pending in batch {
                 let written = image.as_ref().is_ok_and(|i| i.elect(&pending.new.group) == Some(&pending.new));
                 let _ = pending.done.send(written);
--- a/hub/src/duty/lead.rs
+++ b/hub/src/leadership/elections.rs
@@ -9,11 +9,11 @@
 };
 use wire::{Elect, Group, Image};
 
-use super::Duty;
+use super::Leadership;
 
 /// Where a group's leadership stands.
 #[derive(Clone, Debug, Default)]
-pub struct Standing {
+pub struct GroupLeadership {
     pub line: u64,
     /// Who leads, in a group whose servers confirm.
     pub server: String,
@@ -44,7 +44,7 @@
 }
 
 /// A server that could lead.
-struct Runner {
+struct Candidate {
     name: String,
     place: Position,
     log: u64,
@@ -52,40 +52,40 @@
     cold: u32,
 }
 
-impl Duty {
+impl Leadership {
     /// Keeps one task for each group.
-    pub(super) async fn tends(self: Rc<Self>) {
+    pub(super) async fn tend_groups(self: Rc<Self>) {
         let mut jobs: BTreeMap<String, Job> = BTreeMap::new();
         loop {
             let groups: Vec<String> =
-                self.agree.image().iter().flat_map(|i| i.groups.iter().map(|g| g.name.clone())).collect();
+                self.consensus.image().iter().flat_map(|i| i.groups.iter().map(|g| g.name.clone())).collect();
             jobs.retain(|g, _| groups.contains(g));
             self.standings.borrow_mut().retain(|g, _| groups.contains(g));
             for g in groups {
                 jobs.entry(g.clone()).or_insert_with(|| {
                     self.standings.borrow_mut().entry(g.clone()).or_default();
                     let me = self.clone();
-                    self.env.spawn(async move { me.tend(g).await })
+                    self.env.spawn(async move { me.tend_group(g).await })
                 });
             }
             self.env.sleep(self.bounds.pulse()).await;
         }
     }
 
-    pub(super) fn edit(&self, group: &str, with: impl FnOnce(&mut Standing)) {
+    pub(super) fn edit(&self, group: &str, with: impl FnOnce(&mut GroupLeadership)) {
         if let Some(s) = self.standings.borrow_mut().get_mut(group) {
             with(s);
         }
     }
 
     /// Standings as operators read them.
-    pub fn standings(&self) -> Vec<(String, Standing)> {
+    pub fn standings(&self) -> Vec<(String, GroupLeadership)> {
         self.standings.borrow().iter().map(|(g, s)| (g.clone(), s.clone())).collect()
     }
 
     /// An operator's wish that a server lead its group.
     pub fn wish(&self, server: &str) -> Result<(), Kind> {
-        let image = self.agree.image().ok_or(Kind::Unconfirmed)?;
+        let image = self.consensus.image().ok_or(Kind::Unconfirmed)?;
         let group = image.home(server).ok_or(Kind::Invalid)?;
         self.edit(&group.name, |s| s.wish = Some(server.into()));
         Ok(())
@@ -96,7 +96,7 @@
         let end = self.env.now() + self.bounds.call() * 2;
         self.edit(group, |s| s.relieve = Some(end));
         let wait = self.bell.until(|| {
-            let image = self.agree.image()?;
+            let image = self.consensus.image()?;
             let other = image.elect(group).is_none_or(|e| e.server != server);
             let proven = self.standings.borrow().get(group).is_some_and(|s| s.proven);
             (other && proven).then_some(())
@@ -106,27 +106,27 @@
         out
     }
 
-    async fn tend(&self, group: String) {
+    async fn tend_group(&self, group: String) {
         loop {
             self.env.sleep(self.bounds.pulse() / 2).await;
-            if !self.agree.leads() {
+            if !self.consensus.leads() {
                 continue;
             }
-            let Some(image) = self.agree.image() else { continue };
+            let Some(image) = self.consensus.image() else { continue };
             let Some(g) = image.groups.iter().find(|x| x.name == group).cloned() else { continue };
             let st = self.standings.borrow().get(&group).cloned().unwrap_or_default();
             if g.confirms {
-                self.reign(&g, &image).await;
+                self.tend_confirming(&g, &image).await;
                 continue;
             }
             match image.elect(&group).cloned() {
                 None => self.elect(&g, None, false).await,
-                Some(e) => self.mind(&g, &e, st, &image).await,
+                Some(e) => self.check_primary(&g, &e, st, &image).await,
             }
         }
     }
 
-    async fn mind(&self, g: &Group, e: &Elect, st: Standing, image: &Image) {
+    async fn check_primary(&self, g: &Group, e: &Elect, st: GroupLeadership, image: &Image) {
         let none = image.voters(g).next().is_none();
         if none || self.leader_lost(image, &e.server) {
             let why =
@@ -191,10 +191,10 @@
                 s.granting = granting;
                 s.wish = None;
             });
-            self.watch_sight(g, e, &st, image, now);
+            self.watch_reach(g, e, &st, image, now);
             return;
         }
-        let able = |r: &Runner| r.fit && r.name != e.server && (away || wish.as_ref().is_none_or(|w| *w == r.name));
+        let able = |r: &Candidate| r.fit && r.name != e.server && (away || wish.as_ref().is_none_or(|w| *w == r.name));
         if self.runners(g, image, Duration::ZERO).iter().any(able) {
             self.edit(&g.name, |s| {
                 s.why = format!("{} is to be relieved", e.server);
@@ -204,8 +204,8 @@
     }
 
     /// A leader that some nodes can't reach, while another server is in sight of more, is to hand over to that one: two
-    /// areas that lost each other both still see the third.
-    fn watch_sight(&self, g: &Group, e: &Elect, st: &Standing, image: &Image, now: Duration) {
+    /// zones_heard that lost each other both still see the third.
+    fn watch_reach(&self, g: &Group, e: &Elect, st: &GroupLeadership, image: &Image, now: Duration) {
         let blind = |s: &str| {
             let fresh = now.saturating_sub(self.bounds.beat() * 4);
             let seats = self.seats.borrow();
@@ -232,11 +232,11 @@
     }
 
     /// A node tells of a grant that an earlier leading hub gave: that hub had the proof, and the line is the newest still.
-    pub(super) fn retold(&self, beat: &wire::Beat, image: &Image) {
+    pub(super) fn note_held_leases(&self, beat: &wire::Beat, image: &Image) {
         let now = self.env.now();
         for l in &beat.leads {
             if image.groups.iter().any(|g| g.name == l.group && g.confirms) {
-                self.retold_talk(l);
+                self.note_held_lease(l);
                 continue;
             }
             if image.elect(&l.group).is_none_or(|e| e.line != l.line || e.server != l.server) {
@@ -245,7 +245,7 @@
             let mut all = self.standings.borrow_mut();
             let Some(st) = all.get_mut(&l.group) else { continue };
             if !st.proven && !st.closed {
-                *st = Standing { line: l.line, granting: true, proven: true, since: now, ..st.clone() };
+                *st = GroupLeadership { line: l.line, granting: true, proven: true, since: now, ..st.clone() };
             }
         }
     }
@@ -254,7 +254,7 @@
     fn proof(&self, g: &Group, e: &Elect) -> bool {
         let seen = self.seen.borrow();
         let leads = seen.get(&e.server).is_some_and(|s| s.leads && s.place.line == e.line);
-        let Some(image) = self.agree.image() else { return false };
+        let Some(image) = self.consensus.image() else { return false };
         let alone = image.voters(g).count() <= 1 && g.servers.len() == 1;
         let follows = |s: &String| seen.get(s).is_some_and(|x| x.place.line == e.line) && self.counts(&image, s);
         leads && self.counts(&image, &e.server) && (alone || g.all().any(|s| *s != e.server && follows(s)))
@@ -264,7 +264,7 @@
     /// its address any more, waiting longer tells nothing: that counts as the whole time.
     fn quiet(&self, server: &str, now: Duration) -> Duration {
         let fresh = now.saturating_sub(self.bounds.beat() * 4);
-        let (_, since) = self.agree.term();
+        let (_, since) = self.consensus.term();
         let most = now.saturating_sub(since);
         let own = self.seen.borrow().get(server).map_or(most, |s| now.saturating_sub(s.at));
         let shut = self.bounds.gone() + self.bounds.pulse();
@@ -280,14 +280,14 @@
         ages[(ages.len() - 1) / 2]
     }
 
-    fn runners(&self, g: &Group, image: &Image, since: Duration) -> Vec<Runner> {
+    fn runners(&self, g: &Group, image: &Image, since: Duration) -> Vec<Candidate> {
         let seen = self.seen.borrow();
         let servers = self.servers.borrow();
         let row = |s: &String| {
             let x = seen.get(s)?;
             let t = servers.get(s)?;
             let first = image.voters(g).next().is_none();
-            (x.asked >= since && (first || self.counts(image, s))).then(|| Runner {
+            (x.asked >= since && (first || self.counts(image, s))).then(|| Candidate {
                 name: s.clone(),
                 place: x.place,
                 log: x.log,
@@ -313,7 +313,7 @@
             self.bell.ring();
             while !self.leases.borrow().primary_free(&g.name, self.env.now()) && !self.tricks.no_wait {
                 self.env.sleep(self.bounds.pulse() / 4).await;
-                if !self.agree.leads() {
+                if !self.consensus.leads() {
                     return;
                 }
             }
@@ -324,10 +324,10 @@
         let limit = self.bounds.leave();
         let chosen = loop {
             let _ = self.env.within(self.bounds.pulse() / 4, self.bell.after(self.bell.count())).await;
-            if !self.agree.leads() {
+            if !self.consensus.leads() {
                 return;
             }
-            let Some(image) = self.agree.image() else { return };
+            let Some(image) = self.consensus.image() else { return };
             let Some(g) = &image.groups.iter().find(|x| x.name == g.name).cloned() else { return };
             let need = if self.tricks.read_one { 1 } else { self.need(&image, g) };
             let rows = self.runners(g, &image, since);
@@ -347,7 +347,7 @@
                 continue;
             }
             let top = rows.iter().map(|r| r.place).max().unwrap_or_default();
-            let held = |r: &Runner| planned && old.is_some_and(|o| o.server == r.name);
+            let held = |r: &Candidate| planned && old.is_some_and(|o| o.server == r.name);
             let wish = self.standings.borrow().get(&g.name).and_then(|s| s.wish.clone());
             let best = rows.iter().filter(|r| r.place == top).min_by_key(|r| {
                 (
@@ -386,7 +386,7 @@
         let before = old.map_or(0, |o| o.line);
         let put = elect.clone();
         let out = self
-            .agree
+            .consensus
             .propose(move |image| {
                 if image.elect(&put.group).map_or(0, |e| e.line) != before {
                     return Err(Kind::Conflict);
--- a/hub/src/duty/muster.rs
+++ b/hub/src/leadership/enrolment.rs
@@ -1,7 +1,7 @@
 use base::{Kind, seam::Part};
 use wire::{Group, Image, Membership, Spot};
 
-use super::Duty;
+use super::Leadership;
 
 /// A server that made itself known and is to be written into its group.
 struct Recruit {
@@ -22,22 +22,22 @@
     }
 }
 
-impl Duty {
+impl Leadership {
     /// Writes servers that made themselves known into the groups that are open to them, all that are known at a time in
     /// one change. A server is written in the place of one that had its address, as that one's log is at it. One that left
     /// is taken out when it can hold nothing alone; one that fell silent never, so that the number of logs an election
     /// must read does not shrink.
-    pub(super) async fn muster(&self) {
+    pub(super) async fn enrol_servers(&self) {
         loop {
             self.env.sleep(self.bounds.pulse() / 2).await;
-            let Some(image) = self.agree.image() else { continue };
-            if !self.agree.leads() {
+            let Some(image) = self.consensus.image() else { continue };
+            if !self.consensus.leads() {
                 continue;
             }
             let open = || image.groups.iter().filter(|g| g.confirms);
             if let Some((group, old)) = open().find_map(|g| self.dismissed(g)) {
                 let text = format!("{old} has left {group}: what it held is held by those who stay");
-                if self.agree.propose(move |image| dismiss(image, &group, &old)).await.is_ok() {
+                if self.consensus.propose(move |image| dismiss(image, &group, &old)).await.is_ok() {
                     self.log(Part::Elect, text);
                     self.publish_soon();
                 }
@@ -52,7 +52,7 @@
             lines
                 .extend(complete.iter().map(|m| format!("the {} servers of {} are all there are", m.servers, m.group)));
             let moved = !recruits.is_empty();
-            if self.agree.propose(move |image| enrol(image, &recruits, &complete)).await.is_ok() {
+            if self.consensus.propose(move |image| enrol(image, &recruits, &complete)).await.is_ok() {
                 lines.iter().for_each(|l| self.log(Part::Elect, l));
                 if moved {
                     self.publish_soon();
--- a/hub/src/duty/crown.rs
+++ b/hub/src/leadership/failover.rs
@@ -10,13 +10,13 @@
 };
 use wire::{Elect, Group, Image};
 
-use super::Duty;
+use super::Leadership;
 
 /// How many bits of a fencing token count the namings within a term.
 const NAMING_BITS: u32 = 20;
 
 /// What a server that confirms showed lately.
-struct Sighted {
+struct PrimarySight {
     name: String,
     leads: bool,
     line: u64,
@@ -26,15 +26,15 @@
     cold: u32,
 }
 
-impl Duty {
+impl Leadership {
     /// The servers of a group as read after `since`.
-    fn sighted(&self, g: &Group, image: &Image, since: Duration) -> Vec<Sighted> {
+    fn sighted(&self, g: &Group, image: &Image, since: Duration) -> Vec<PrimarySight> {
         let talks = self.talks.borrow();
         let told = self.servers.borrow();
         let row = |s: &String| {
             let (asked, row) = talks.get(s)?.row?;
             let t = told.get(s)?;
-            (asked >= since).then(|| Sighted {
+            (asked >= since).then(|| PrimarySight {
                 name: s.clone(),
                 leads: row.leads,
                 line: row.line,
@@ -46,7 +46,7 @@
         g.servers.iter().filter_map(row).collect()
     }
 
-    fn primary(&self, g: &Group, image: &Image) -> Option<Sighted> {
+    fn primary(&self, g: &Group, image: &Image) -> Option<PrimarySight> {
         let since = self.env.now().saturating_sub(self.bounds.missed());
         self.sighted(g, image, since).into_iter().filter(|s| s.leads).max_by_key(|s| s.line)
     }
@@ -74,7 +74,7 @@
     }
 
     /// A node tells of a grant that an earlier leading hub gave: all that were out with it named the same server.
-    pub(super) fn retold_talk(&self, l: &wire::Lead) {
+    pub(super) fn note_held_lease(&self, l: &wire::Lead) {
         let mut all = self.standings.borrow_mut();
         let Some(st) = all.get_mut(&l.group) else { return };
         if st.server.is_empty() && !st.closed {
@@ -85,7 +85,7 @@
         }
     }
 
-    fn stand(&self, group: &str) -> super::Standing {
+    fn stand(&self, group: &str) -> super::GroupLeadership {
         self.standings.borrow().get(group).cloned().unwrap_or_default()
     }
 
@@ -105,7 +105,7 @@
     }
 
     /// One look at a group.
-    pub(super) async fn reign(&self, g: &Group, image: &Image) {
+    pub(super) async fn tend_confirming(&self, g: &Group, image: &Image) {
         let mut st = self.stand(&g.name);
         let now = self.env.now();
         let prim = self.primary(g, image);
@@ -120,7 +120,7 @@
         if let Some(p) = &prim {
             self.fence(g, p, &st).await;
             if st.server != p.name && (st.server.is_empty() || p.line > st.line) {
-                return self.adopt_leader(g, image, p, &st).await;
+                return self.adopt_primary(g, image, p, &st).await;
             }
             if st.server == p.name {
                 if p.line > st.line {
@@ -133,16 +133,16 @@
         }
         if st.server.is_empty() {
             // Nobody says that it leads, and no node holds a grant.
-            let known = g.servers.len() > 1 && now > self.agree.term().1 + self.bounds.missed() * 2;
+            let known = g.servers.len() > 1 && now > self.consensus.term().1 + self.bounds.missed() * 2;
             if known && prim.is_none() && self.leases.borrow().primary_free(&g.name, now) {
-                self.succeed(g, "").await;
+                self.fail_over(g, "").await;
             }
             return;
         }
         let silent = self.silent(&st.server);
         if silent > self.bounds.missed() {
             self.withdraw(&g.name, &format!("{} does not answer", st.server));
-            self.succeed(g, &st.server).await;
+            self.fail_over(g, &st.server).await;
             return;
         }
         let told = self.servers.borrow().get(&st.server).cloned();
@@ -166,7 +166,7 @@
         if leads && !st.unclear {
             self.free_held(g, &st.server);
         }
-        self.watch_blind(g, image, &st);
+        self.watch_confirming_reach(g, image, &st);
     }
 
     /// Frees servers that an election kept from receiving which was given up, as the leader is back.
@@ -182,13 +182,13 @@
     }
 
     /// A leader that some nodes can't reach, while another fit server is in sight of more, is to hand over to that one.
-    fn watch_blind(&self, g: &Group, image: &Image, st: &super::Standing) {
+    fn watch_confirming_reach(&self, g: &Group, image: &Image, st: &super::GroupLeadership) {
         let now = self.env.now();
         let fresh = now.saturating_sub(self.bounds.beat() * 4);
         let blind = |s: &str| {
             let seats = self.seats.borrow();
             let late = self.bounds.missed().as_millis() as u64 * 2 / 3;
-            let miss = |x: &super::Seat| x.sights.iter().any(|y| y.server == s && (y.age > late || y.refused));
+            let miss = |x: &super::NodeRecord| x.sights.iter().any(|y| y.server == s && (y.age > late || y.refused));
             seats.values().filter(|x| !x.hub && x.heard > fresh && miss(x)).count()
         };
         let own = blind(&st.server);
@@ -213,8 +213,8 @@
 
     /// Writes down who leads before any grant for it is given: whoever leads the hubs later and sees that same server
     /// lead on that line knows that no grant for another can be out.
-    async fn write_down(&self, g: &Group, p: &Sighted) -> bool {
-        let before = self.agree.image().and_then(|i| i.elect(&g.name).cloned());
+    async fn write_down(&self, g: &Group, p: &PrimarySight) -> bool {
+        let before = self.consensus.image().and_then(|i| i.elect(&g.name).cloned());
         let (index, from) = (p.place.index, p.place.line);
         let put =
             Elect { group: g.name.clone(), line: p.line, server: p.name.clone(), from_line: from, from_index: index };
@@ -222,7 +222,7 @@
     }
 
     /// Grants for a server that was seen leading, once no grant for another can stand.
-    async fn adopt_leader(&self, g: &Group, image: &Image, p: &Sighted, st: &super::Standing) {
+    async fn adopt_primary(&self, g: &Group, image: &Image, p: &PrimarySight, st: &super::GroupLeadership) {
         if st.granting {
             self.withdraw(&g.name, &format!("{} leads on line {}", p.name, p.line));
         }
@@ -236,7 +236,7 @@
             }
             self.env.sleep(self.bounds.pulse() / 20).await;
         }
-        if !out() || !self.agree.leads() {
+        if !out() || !self.consensus.leads() {
             return;
         }
         if noted.is_none_or(|e| e.server != p.name || e.line != p.line) && !self.write_down(g, p).await {
@@ -263,16 +263,16 @@
 
     /// Once a term: the platform hears of this holder by naming the one that leads anyway, so that a call of an earlier
     /// holder that is still under way no longer counts; after a while, servers that one kept from receiving are freed.
-    async fn fence(&self, g: &Group, p: &Sighted, st: &super::Standing) {
+    async fn fence(&self, g: &Group, p: &PrimarySight, st: &super::GroupLeadership) {
         let now = self.env.now();
         match st.fenced {
             // The first term of all has no earlier holder.
-            None if self.agree.term().0 <= 1 => self.edit(&g.name, |s| {
+            None if self.consensus.term().0 <= 1 => self.edit(&g.name, |s| {
                 s.fenced = Some(now);
                 s.freed = true;
             }),
             None => {
-                let code = self.call_name(g, &p.name).await;
+                let code = self.promote(g, &p.name).await;
                 if code == Some(200) {
                     self.edit(&g.name, |s| s.fenced = Some(self.env.now()));
                 }
@@ -308,7 +308,7 @@
     }
 
     /// Calls the platform; the answer's code.
-    async fn call_name(&self, g: &Group, server: &str) -> Option<u16> {
+    async fn promote(&self, g: &Group, server: &str) -> Option<u16> {
         let (addr, manner) = (self.platform.get()?, self.manner.clone()?);
         let naming = Naming {
             group: g.name.clone(),
@@ -356,7 +356,7 @@
     }
 
     /// Elects after the leader was lost: all others are kept from receiving and read, and the furthest is named.
-    async fn succeed(&self, g: &Group, lost: &str) {
+    async fn fail_over(&self, g: &Group, lost: &str) {
         let others: Vec<String> = g.servers.iter().filter(|s| *s != lost).cloned().collect();
         let need = if lost.is_empty() { others.len().saturating_sub(1) } else { others.len() };
         if others.is_empty() || need == 0 {
@@ -373,7 +373,7 @@
             let alive = |s: &&String| self.talks.borrow().get(*s).is_some_and(|t| t.open.is_none());
             let some = others.iter().find(alive).cloned();
             if let Some(s) = some {
-                self.call_name(g, &s).await;
+                self.promote(g, &s).await;
                 self.await_leader(g, &s, line).await;
             }
             return;
@@ -396,7 +396,7 @@
             }
             return;
         }
-        if !self.agree.leads() {
+        if !self.consensus.leads() {
             return;
         }
         if self.silent(lost) < self.bounds.missed() && !lost.is_empty() {
@@ -410,7 +410,7 @@
         let best = {
             let talks = self.talks.borrow();
             let told = self.servers.borrow();
-            let image = self.agree.image();
+            let image = self.consensus.image();
             let rows = others.iter().filter_map(|s| Some((s.clone(), talks.get(s)?.held?)));
             let fit = |s: &String| {
                 let out = |a: &String| image.as_ref().is_some_and(|i| i.emptied.contains(a));
@@ -420,7 +420,7 @@
         };
         let Some(best) = best else { return };
         self.log(Part::Elect, format!("naming {best} for {}", g.name));
-        if self.call_name(g, &best).await != Some(200) {
+        if self.promote(g, &best).await != Some(200) {
             return;
         }
         self.await_leader(g, &best, line).await;
@@ -478,7 +478,7 @@
         };
         let wait = self.bell.until(|| there(&name).then_some(()));
         let met = self.env.within(self.bounds.missed(), wait).await.is_ok();
-        if !met || !self.agree.leads() {
+        if !met || !self.consensus.leads() {
             self.log(Part::Elect, format!("{name} has not caught up; {from} leads on"));
             self.free_all(&others);
             self.edit(&g.name, |s| s.wish = None);
@@ -488,7 +488,7 @@
             self.log(Part::Elect, format!("the servers of {} changed; {from} leads on", g.name));
             return self.free_all(&others);
         }
-        if self.call_name(g, &name).await != Some(200) {
+        if self.promote(g, &name).await != Some(200) {
             // What became of the call can't be told: those kept from receiving stay so until it shows.
             return;
         }
@@ -529,7 +529,7 @@
         let met = self.env.within(self.bounds.missed() / 2, wait).await.is_ok();
         let name = if met { next } else { from };
         self.log(Part::Elect, format!("{from} follows; naming {name} for {}", g.name));
-        if self.call_name(g, name).await == Some(200) {
+        if self.promote(g, name).await == Some(200) {
             self.await_leader(g, name, line).await;
         }
     }
--- a/hub/src/duty/roll.rs
+++ b/hub/src/leadership/log_membership.rs
@@ -3,11 +3,11 @@
 use base::{Kind, seam::Part, words::Position};
 use wire::{Elect, Group, Image, Log};
 
-use super::{Duty, probe::Seen};
+use super::{Leadership, readings::LogReading};
 
 /// What this hub saw of a server's log since it first met it.
 #[derive(Clone, Copy, Debug)]
-pub struct Roll {
+pub struct LogRecord {
     /// The log's identity.
     born: u64,
     /// Since when this log is known, or known to have lost something.
@@ -20,7 +20,7 @@
 
 /// How a group's membership stands.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Phase {
+pub struct MembershipPhase {
     /// When this hub first knew of the present set of voters and leavers.
     since: Duration,
     sum: u64,
@@ -35,10 +35,10 @@
     u64::from(all.finalize()) | 1 << 32
 }
 
-impl Duty {
+impl Leadership {
     /// Takes in a reading; a place that went back, or another log, is noted before the reading counts.
-    pub(super) fn seen_now(&self, server: &str, new: Seen) {
-        let image = self.agree.image();
+    pub(super) fn seen_now(&self, server: &str, new: LogReading) {
+        let image = self.consensus.image();
         let entry = image.as_ref().and_then(|i| i.log(server).cloned());
         let line = image.as_ref().and_then(|i| i.elect(&i.root(server)?.name)).map(|e| (e.line, e.from()));
         let (line, from) = line.unwrap_or_default();
@@ -46,7 +46,7 @@
         let lost = old.is_some_and(|o| o.log == new.log && o.place.lost(new.place, line, from));
         {
             let mut rolls = self.rolls.borrow_mut();
-            let fresh = Roll { born: new.log, since: new.at, back: None, goal: None };
+            let fresh = LogRecord { born: new.log, since: new.at, back: None, goal: None };
             let roll = rolls.entry(server.into()).or_insert(fresh);
             if roll.born != new.log {
                 *roll = fresh;
@@ -67,7 +67,7 @@
             && let Some(r) = self.rolls.borrow_mut().get_mut(server)
             && r.back != Some(turn)
         {
-            *r = Roll { since: self.env.now(), back: Some(turn), goal: None, ..*r };
+            *r = LogRecord { since: self.env.now(), back: Some(turn), goal: None, ..*r };
         }
     }
 
@@ -133,8 +133,8 @@
     pub(super) async fn roll(&self) {
         loop {
             self.env.sleep(self.bounds.pulse()).await;
-            let Some(image) = self.agree.image() else { continue };
-            if !self.agree.leads() {
+            let Some(image) = self.consensus.image() else { continue };
+            if !self.consensus.leads() {
                 continue;
             }
             for g in &image.groups {
@@ -144,7 +144,7 @@
                 let Some((text, next)) = next else { continue };
                 let (name, at) = (g.name.clone(), e.line);
                 let out = self
-                    .agree
+                    .consensus
                     .propose(move |image| {
                         if image.elect(&name).map_or(0, |e| e.line) != at {
                             return Err(Kind::Conflict);
@@ -168,7 +168,7 @@
         let mut all = self.phases.borrow_mut();
         let p = all.entry(g.name.clone()).or_default();
         if p.sum != sum {
-            *p = Phase { since: self.env.now(), sum, goal: None };
+            *p = MembershipPhase { since: self.env.now(), sum, goal: None };
         }
     }
 
--- a/hub/src/duty/membership.rs
+++ b/hub/src/leadership/membership.rs
@@ -6,7 +6,7 @@
 
 use wire::{Group, Image, Membership};
 
-use super::Duty;
+use super::Leadership;
 
 /// Of the servers that answer readings, this share must have sent a heartbeat lately, in tenths.
 const HEARD_TENTHS: usize = 9;
@@ -17,14 +17,14 @@
 /// The lists of servers that this hub saw, and since when each has stayed as it is.
 pub type Listed = BTreeMap<String, (Vec<String>, Duration)>;
 
-impl Duty {
+impl Leadership {
     /// Whether an election may rest on the list: it was found complete, and nobody has made itself known since who is
     /// not on it.
     pub(super) fn list_stands(&self, group: &Group) -> bool {
         if self.tricks.any_list {
             return true;
         }
-        let Some(image) = self.agree.image() else { return false };
+        let Some(image) = self.consensus.image() else { return false };
         let Some(newest) = image.groups.iter().find(|g| g.name == group.name) else { return false };
         newest.servers == group.servers && image.complete(newest) && self.unlisted(newest).is_empty()
     }
@@ -55,7 +55,7 @@
             }
         }
         let settled = now.saturating_sub(self.settle_span());
-        if self.agree.term().1 > settled || !self.heartbeats_arrive(image, settled) {
+        if self.consensus.term().1 > settled || !self.heartbeats_arrive(image, settled) {
             return Vec::new();
         }
         let recorded = |g: &Group| {
--- a/hub/src/duty/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -1,14 +1,14 @@
 //! What the leading hub does: knows servers and nodes as they tell, gives grants, elects leaders, sends news.
 
-mod crown;
 mod election_record;
-mod lead;
+mod elections;
+mod enrolment;
+mod failover;
+mod log_membership;
 mod membership;
-mod muster;
-mod probe;
+mod readings;
 mod registry;
-mod roll;
-mod show;
+mod rows;
 
 use std::{
     cell::{Cell, RefCell},
@@ -37,11 +37,11 @@
 };
 
 use election_record::Pending;
-pub use lead::Standing;
+pub use elections::GroupLeadership;
+use log_membership::{LogRecord, MembershipPhase};
 use membership::Listed;
-use probe::{Seen, Talk};
-use registry::{Seat, Told};
-use roll::{Phase, Roll};
+use readings::{LogReading, ServerStatus};
+use registry::{NodeRecord, ServerRecord};
 
 /// How many nodes news tells of at most.
 const FELLOWS: usize = 64;
@@ -50,26 +50,26 @@
 const FORGET_AFTER: u32 = 8;
 
 /// The leading hub's desk; empty on the others.
-pub struct Duty {
+pub struct Leadership {
     pub(crate) env: Env,
-    pub(crate) agree: Rc<Consensus>,
+    pub(crate) consensus: Rc<Consensus>,
     pub(crate) relay: Rc<Relay>,
     pub(crate) bounds: Bounds,
     pub(crate) platform: Cell<Option<SocketAddr>>,
     pub(crate) manner: Option<Rc<dyn Manner>>,
     /// What servers that confirm are to be told, and what they last showed of themselves.
-    talks: RefCell<BTreeMap<String, Talk>>,
-    servers: RefCell<BTreeMap<String, Told>>,
-    seats: RefCell<BTreeMap<String, Seat>>,
+    talks: RefCell<BTreeMap<String, ServerStatus>>,
+    servers: RefCell<BTreeMap<String, ServerRecord>>,
+    seats: RefCell<BTreeMap<String, NodeRecord>>,
     /// How often another server than before was named for a group in this term, and the last one.
     namings: RefCell<BTreeMap<String, (u64, String)>>,
     /// The nodes that the newest news told of.
     told_nodes: RefCell<Vec<wire::Node>>,
     leases: RefCell<LeaseTable>,
-    standings: RefCell<BTreeMap<String, Standing>>,
-    seen: RefCell<BTreeMap<String, Seen>>,
-    rolls: RefCell<BTreeMap<String, Roll>>,
-    phases: RefCell<BTreeMap<String, Phase>>,
+    standings: RefCell<BTreeMap<String, GroupLeadership>>,
+    seen: RefCell<BTreeMap<String, LogReading>>,
+    rolls: RefCell<BTreeMap<String, LogRecord>>,
+    phases: RefCell<BTreeMap<String, MembershipPhase>>,
     listed: RefCell<Listed>,
     /// Elections to be written down.
     pending_elects: RefCell<Vec<Pending>>,
@@ -92,11 +92,11 @@
     pub(crate) tricks: Tricks,
 }
 
-impl Duty {
+impl Leadership {
     /// A desk that nothing has been told yet.
     pub fn new(
         env: &Env,
-        agree: Rc<Consensus>,
+        consensus: Rc<Consensus>,
         relay: Rc<Relay>,
         place: &Place,
         manner: Option<Rc<dyn Manner>>,
@@ -104,7 +104,7 @@
     ) -> Rc<Self> {
         let me = Rc::new(Self {
             env: env.clone(),
-            agree,
+            consensus,
             relay,
             bounds: place.bounds.clone(),
             platform: Cell::new(place.platform),
@@ -133,7 +133,7 @@
             tricks,
         });
         let weak = Rc::downgrade(&me);
-        me.agree.report_leases(move || {
+        me.consensus.report_leases(move || {
             let me = weak.upgrade();
             me.map(|m| m.leases.borrow().left(m.env.now())).unwrap_or_default()
         });
@@ -143,32 +143,35 @@
     /// Leads whenever the agreement says so, and clears the desk when it no longer does.
     pub async fn run(self: Rc<Self>) -> Result<(), std::convert::Infallible> {
         loop {
-            self.agree.bell.until(|| self.agree.leads().then_some(())).await;
-            let (term, _) = self.agree.term();
-            self.take_over(term);
+            self.consensus.bell.until(|| self.consensus.leads().then_some(())).await;
+            let (term, _) = self.consensus.term();
+            self.begin(term);
             self.relay.hurry.ring();
             let me = self.clone();
             let probes = self.env.spawn(async move { me.probes().await });
             let me = self.clone();
-            let tends = self.env.spawn(async move { me.tends().await });
+            let tend_groups = self.env.spawn(async move { me.tend_groups().await });
             let me = self.clone();
             let watch = self.env.spawn(async move { me.watch().await });
             let me = self.clone();
             let roll = self.env.spawn(async move { me.roll().await });
             let me = self.clone();
-            let muster = self.env.spawn(async move { me.muster().await });
+            let enrol_servers = self.env.spawn(async move { me.enrol_servers().await });
             let me = self.clone();
             let elects = self.env.spawn(async move { me.write_elects().await });
             let me = self.clone();
             let batches = self.env.spawn(async move { me.publish_batches().await });
-            self.agree.bell.until(|| (self.agree.image().is_none() || self.agree.term().0 != term).then_some(())).await;
-            drop((probes, tends, watch, roll, muster, elects, batches));
+            self.consensus
+                .bell
+                .until(|| (self.consensus.image().is_none() || self.consensus.term().0 != term).then_some(()))
+                .await;
+            drop((probes, tend_groups, watch, roll, enrol_servers, elects, batches));
             self.standings.borrow_mut().clear();
             self.seen.borrow_mut().clear();
         }
     }
 
-    fn take_over(&self, term: u64) {
+    fn begin(&self, term: u64) {
         self.term.set(term);
         // Marks rise within a term, whatever was published in it before.
         let before = self.relay.latest().filter(|news| news.mark.term == term);
@@ -176,7 +179,7 @@
         self.overdue.set(false);
         self.unpublished.set(false);
         let lapse = self.env.now() + self.bounds.lapse();
-        *self.leases.borrow_mut() = match self.agree.inherited_leases() {
+        *self.leases.borrow_mut() = match self.consensus.inherited_leases() {
             Some(i) => LeaseTable::inherit(lapse, i.at, &i.leases),
             None => LeaseTable::new(lapse),
         };
@@ -195,14 +198,14 @@
         let mut servers = self.servers.borrow_mut();
         servers.clear();
         if let Some(n) = self.relay.latest() {
-            servers.extend(n.servers.iter().map(|s| (s.name.clone(), Told::from_news(s, now))));
-            self.seats.borrow_mut().extend(n.nodes.iter().map(|n| (n.name.clone(), Seat::from_news(n, now))));
+            servers.extend(n.servers.iter().map(|s| (s.name.clone(), ServerRecord::from_news(s, now))));
+            self.seats.borrow_mut().extend(n.nodes.iter().map(|n| (n.name.clone(), NodeRecord::from_news(n, now))));
         }
         // After all processes were down nobody tells it again for a while.
-        if let Some(image) = self.agree.image() {
+        if let Some(image) = self.consensus.image() {
             for s in &image.spots {
                 let group = image.root(&s.server).map_or("", |g| &g.name);
-                servers.entry(s.server.clone()).or_insert_with(|| Told::from_spot(s, group, now));
+                servers.entry(s.server.clone()).or_insert_with(|| ServerRecord::from_spot(s, group, now));
             }
         }
         drop(servers);
@@ -216,8 +219,8 @@
 
     /// Sends news of the present state down the tree.
     pub fn publish(&self) {
-        let Some(image) = self.agree.image() else { return };
-        self.overdue.set(!self.agree.leads());
+        let Some(image) = self.consensus.image() else { return };
+        self.overdue.set(!self.consensus.leads());
         if self.overdue.get() {
             return;
         }
@@ -227,7 +230,7 @@
             mark: Some(self.mark()),
             image: Some((*image).clone()),
             servers: self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect(),
-            nodes: self.fellows(),
+            nodes: self.told_nodes_now(),
         };
         self.told_nodes.borrow_mut().clone_from(&news.nodes);
         self.relay.publish(news);
@@ -256,7 +259,7 @@
     }
 
     /// The nodes that news tells of, for others to hang on: those nearest to the root.
-    fn fellows(&self) -> Vec<wire::Node> {
+    fn told_nodes_now(&self) -> Vec<wire::Node> {
         let seats = self.seats.borrow();
         let mut all: Vec<&wire::Node> = seats.values().map(|s| &s.node).collect();
         if all.len() > FELLOWS {
@@ -275,7 +278,7 @@
                 // A late one: what came after it is known already.
                 return;
             }
-            let told = Told::from_report(r, now);
+            let told = ServerRecord::from_report(r, now);
             let old = all.insert(r.server.clone(), told);
             old.is_none_or(|o| !o.same(&all[&r.server]))
         };
@@ -295,7 +298,7 @@
     }
 
     /// The other address at which a server of this name still answers this hub's readings.
-    pub fn heard_elsewhere(&self, r: &Report) -> Option<String> {
+    pub fn answers_elsewhere(&self, r: &Report) -> Option<String> {
         let now = self.env.now();
         let at = self.servers.borrow().get(&r.server)?.addr.clone();
         let seen = self.seen.borrow().get(&r.server).is_some_and(|s| now.saturating_sub(s.at) < self.bounds.gone());
@@ -304,11 +307,11 @@
 
     /// Whether any group of the image has this server.
     pub fn known(&self, server: &str) -> bool {
-        self.agree.image().is_some_and(|i| i.root(server).is_some())
+        self.consensus.image().is_some_and(|i| i.root(server).is_some())
     }
 
-    /// The areas that servers and nodes tell of.
-    pub fn areas(&self) -> Vec<String> {
+    /// The zones_heard that servers and nodes tell of.
+    pub fn zones_heard(&self) -> Vec<String> {
         let mut out: Vec<String> = self.servers.borrow().values().map(|t| t.area.clone()).collect();
         out.extend(self.seats.borrow().values().map(|s| s.node.area.clone()));
         out.sort();
@@ -317,33 +320,33 @@
     }
 
     /// Takes a node's beat and gives its grants.
-    pub fn beaten(&self, beat: Beat) -> Option<BeatReturn> {
-        if !self.agree.leads() || self.term.get() != self.agree.term().0 {
+    pub fn on_heartbeat(&self, beat: Beat) -> Option<BeatReturn> {
+        if !self.consensus.leads() || self.term.get() != self.consensus.term().0 {
             return None;
         }
-        if !self.agree.agrees(&beat.name, beat.rule) {
+        if !self.consensus.agrees(&beat.name, beat.rule) {
             return None;
         }
-        let image = self.agree.image()?;
+        let image = self.consensus.image()?;
         if self.overdue.get() {
             self.publish();
         }
         let now = self.env.now();
         {
             let mut seats = self.seats.borrow_mut();
-            seats.insert(beat.name.clone(), Seat::from_beat(&beat, now));
+            seats.insert(beat.name.clone(), NodeRecord::from_beat(&beat, now));
             if beat.leaving {
                 seats.remove(&beat.name);
             }
         }
         self.leases.borrow_mut().told(&beat, now);
         if beat.hub {
-            self.agree.met(&beat.peer);
+            self.consensus.met(&beat.peer);
         }
         if beat.hub || beat.leaving {
             return Some(self.ret(&beat, Vec::new(), Vec::new()));
         }
-        self.retold(&beat, &image);
+        self.note_held_leases(&beat, &image);
         for s in beat.sights.iter().filter(|s| s.back > 0) {
             self.back_told(&image, &s.server, s.back);
         }
@@ -423,7 +426,7 @@
             moved |= self.forget_servers(now);
             self.seats.borrow_mut().retain(|_, s| now.saturating_sub(s.heard) < gone * 2);
             // Nodes that come and go together are told of together.
-            moved |= *self.told_nodes.borrow() != self.fellows();
+            moved |= *self.told_nodes.borrow() != self.told_nodes_now();
             if moved {
                 self.publish_soon();
             }
@@ -432,12 +435,12 @@
 
     /// Forgets servers that are in no group and have been gone for long enough that no report of theirs is under way.
     fn forget_servers(&self, now: Duration) -> bool {
-        let Some(image) = self.agree.image() else { return false };
+        let Some(image) = self.consensus.image() else { return false };
         let mut servers = self.servers.borrow_mut();
         let before = servers.len();
         let span = self.bounds.gone() * FORGET_AFTER;
         // What an earlier leading hub told of is counted from when this one began to lead.
-        let since = self.agree.term().1;
+        let since = self.consensus.term().1;
         servers.retain(|name, t| !t.gone || image.root(name).is_some() || now < t.heard.max(since) + span);
         servers.len() != before
     }
--- a/hub/src/duty/probe.rs
+++ b/hub/src/leadership/readings.rs
@@ -9,11 +9,11 @@
 };
 use bytes::Bytes;
 
-use super::Duty;
+use super::Leadership;
 
 /// What the hub read of a server on its own connection.
 #[derive(Clone, Copy, Debug)]
-pub struct Seen {
+pub struct LogReading {
     /// When the reading was asked for.
     pub asked: Duration,
     /// When it came.
@@ -26,7 +26,7 @@
 
 /// What passes between this hub and a server that confirms.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Talk {
+pub struct ServerStatus {
     /// What it showed, and when it was asked.
     pub row: Option<(Duration, Row)>,
     /// When it last answered anything.
@@ -41,13 +41,13 @@
     pub held: Option<Row>,
 }
 
-impl Duty {
+impl Leadership {
     /// Keeps one reading task for each server of the image.
     pub(super) async fn probes(self: Rc<Self>) {
         let mut jobs: BTreeMap<String, (String, Job)> = BTreeMap::new();
         loop {
             let addrs: BTreeMap<String, (String, Option<String>)> = {
-                let image = self.agree.image();
+                let image = self.consensus.image();
                 let servers = self.servers.borrow();
                 let row = |g: &wire::Group, s: &String| {
                     let t = servers.get(s).filter(|t| !t.left)?;
@@ -87,7 +87,7 @@
                     let Ok(out) = line.call("GET", backend::PLACE, &[], Bytes::new(), span).await else { break };
                     let signs = backend::signs(&out);
                     if let Signs { place: Some(place), leads, log, .. } = signs {
-                        let seen = Seen { asked, at: self.env.now(), place, leads, log };
+                        let seen = LogReading { asked, at: self.env.now(), place, leads, log };
                         refused = 0;
                         self.refused.borrow_mut().remove(&server);
                         self.seen_now(&server, seen);
@@ -108,7 +108,7 @@
         }
     }
 
-    fn with_talk(&self, server: &str, with: impl FnOnce(&mut Talk)) {
+    fn with_talk(&self, server: &str, with: impl FnOnce(&mut ServerStatus)) {
         with(self.talks.borrow_mut().entry(server.into()).or_default());
     }
 
@@ -124,7 +124,7 @@
             } else if let Ok(Err(Fault::Unsure)) = line {
                 // It turns sessions away, being full: it lives.
                 let now = self.env.now();
-                self.with_talk(&server, |t| *t = Talk { open: None, refused: 0, alive: Some(now), ..*t });
+                self.with_talk(&server, |t| *t = ServerStatus { open: None, refused: 0, alive: Some(now), ..*t });
             } else {
                 let soon = self.env.now() - start < span / 4;
                 self.with_talk(&server, |t| t.refused = if soon { t.refused + 1 } else { 0 });
--- a/hub/src/duty/registry.rs
+++ b/hub/src/leadership/registry.rs
@@ -5,7 +5,7 @@
 
 /// A server as it last told of itself.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct ServerRecord {
     pub area: String,
     pub addr: String,
     pub draining: bool,
@@ -21,7 +21,7 @@
     pub left: bool,
 }
 
-impl Told {
+impl ServerRecord {
     /// From the server's report.
     pub fn from_report(r: &Report, now: Duration) -> Self {
         Self {
@@ -84,7 +84,7 @@
     }
 
     /// Whether nothing changed that nodes need to hear.
-    pub fn same(&self, o: &Told) -> bool {
+    pub fn same(&self, o: &ServerRecord) -> bool {
         self.area == o.area
             && self.addr == o.addr
             && self.draining == o.draining
@@ -116,14 +116,14 @@
 
 /// A node whose session stands.
 #[derive(Clone, Debug)]
-pub struct Seat {
+pub struct NodeRecord {
     pub node: Node,
     pub heard: Duration,
     pub sights: Vec<Sight>,
     pub hub: bool,
 }
 
-impl Seat {
+impl NodeRecord {
     /// From the node's beat.
     pub fn from_beat(b: &Beat, now: Duration) -> Self {
         let node = Node {
--- a/hub/src/duty/show.rs
+++ b/hub/src/leadership/rows.rs
@@ -1,7 +1,7 @@
 use base::{http::Return, strict};
 use nanoserde::SerJson;
 
-use super::Duty;
+use super::Leadership;
 
 strict! {
     /// A node as operators read it.
@@ -56,12 +56,12 @@
     Return::new(200, rows.serialize_json()).with("content-type", "application/json")
 }
 
-impl Duty {
+impl Leadership {
     /// The nodes whose sessions stand.
     pub fn members(&self) -> Return {
         let now = self.env.now();
         let rows = self.seats.borrow();
-        let row = |s: &super::Seat| Member {
+        let row = |s: &super::NodeRecord| Member {
             name: s.node.name.clone(),
             area: s.node.area.clone(),
             peer: s.node.peer.clone(),
@@ -76,9 +76,9 @@
     /// The servers as last told.
     pub fn server_rows(&self) -> Return {
         let now = self.env.now();
-        let image = self.agree.image();
+        let image = self.consensus.image();
         let rows = self.servers.borrow();
-        let row = |(name, t): (&String, &super::Told)| ServerRow {
+        let row = |(name, t): (&String, &super::ServerRecord)| ServerRow {
             name: name.clone(),
             group: image.as_ref().and_then(|i| i.home(name)).map(|g| g.name.clone()).unwrap_or_default(),
             area: t.area.clone(),
@@ -94,7 +94,7 @@
 
     /// Who leads each group.
     pub fn lead_rows(&self) -> Return {
-        let image = self.agree.image();
+        let image = self.consensus.image();
         let rows = self.standings().into_iter().map(|(group, s)| LeadRow {
             server: image.as_ref().and_then(|i| i.elect(&group)).map(|e| e.server.clone()).unwrap_or_default(),
             group,
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -2,9 +2,9 @@
 
 pub mod consensus;
 mod door;
-mod duty;
 mod entrance;
 mod ground;
+mod leadership;
 pub mod leases;
 pub mod operator;
 mod reports;
--- a/hub/src/operator/evacuation.rs
+++ b/hub/src/operator/evacuation.rs
@@ -6,7 +6,7 @@
 use wire::Image;
 
 use super::{Done, order::answer};
-use crate::{duty::Duty, run::Tricks};
+use crate::{leadership::Leadership, run::Tricks};
 
 /// The zones that an order may name.
 #[derive(Clone, Debug)]
@@ -16,17 +16,17 @@
     complete: bool,
 }
 
-impl Duty {
+impl Leadership {
     /// The zones of the settings; where these list none, those that servers and nodes told of, which are all of them
     /// once everybody had the time to.
     fn zones(&self) -> Zones {
         let now = self.env.now();
-        let mut names: BTreeSet<String> = self.areas().into_iter().collect();
+        let mut names: BTreeSet<String> = self.zones_heard().into_iter().collect();
         if self.tricks.soft_zones {
             return Zones { names, complete: true };
         }
         names.extend(self.listed_zones.iter().cloned());
-        let led_for = now.saturating_sub(self.agree.term().1);
+        let led_for = now.saturating_sub(self.consensus.term().1);
         let complete = !self.listed_zones.is_empty() || led_for > self.bounds.gone() * 2;
         Zones { names, complete }
     }
--- a/hub/src/operator/mod.rs
+++ b/hub/src/operator/mod.rs
@@ -22,7 +22,7 @@
 use bytes::Bytes;
 use nanoserde::SerJson;
 
-use crate::duty::Duty;
+use crate::leadership::Leadership;
 
 /// The largest operator body; a set may carry the operators' own form of each item beside it.
 const LARGEST_BODY: usize = 1 << 20;
@@ -46,7 +46,7 @@
     strict::read(body).map_err(|e| refuse(Kind::Malformed, &e.to_string(), None))
 }
 
-impl Duty {
+impl Leadership {
     /// Answers one outer request that reached the leading hub.
     pub async fn answer(self: Rc<Self>, method: &str, path: &str, body: Bytes) -> Return {
         let path = path.split('?').next().unwrap_or("");
@@ -81,7 +81,7 @@
     }
 
     async fn on_readback(&self) -> Done {
-        let image = self.agree.confirm().await.map_err(|k| refuse(k, "", None))?;
+        let image = self.consensus.confirm().await.map_err(|k| refuse(k, "", None))?;
         let limits = image.limits.unwrap_or_default();
         let out = Readback {
             sequence: image.sequence,
--- a/hub/src/operator/order.rs
+++ b/hub/src/operator/order.rs
@@ -18,7 +18,7 @@
     identity::{Identity, Memory},
     json, read,
 };
-use crate::{duty::Duty, run::Tricks};
+use crate::{leadership::Leadership, run::Tricks};
 
 /// The highest number of a set: every reader of JSON takes it for what it is, and there is always a next one.
 const HIGHEST_NUMBER: u64 = (1 << 53) - 1;
@@ -28,13 +28,13 @@
     json(200, format!("{{\"sequence\":{}}}", image.sequence))
 }
 
-impl Duty {
+impl Leadership {
     /// Proposes a change of the agreed state. `make` gives the new state or the final answer.
     pub(super) async fn change(&self, make: impl FnOnce(&Image) -> Result<Image, Return> + 'static) -> Done {
         let verdict = Rc::new(RefCell::new(None));
         let given = verdict.clone();
         let out = self
-            .agree
+            .consensus
             .propose(move |image| {
                 make(image).map_err(|ret| {
                     *given.borrow_mut() = Some(ret);
@@ -63,8 +63,8 @@
 
     /// A change of doorways and groups. A leader that is to be taken out of its group hands over first.
     async fn adopt(&self, make: impl Fn(&Image) -> Result<Image, Return> + 'static) -> Done {
-        if let Some(old) = self.agree.image()
-            && self.agree.leads()
+        if let Some(old) = self.consensus.image()
+            && self.consensus.leads()
         {
             match make(&old) {
                 Ok(new) => self.relieve_leavers(&old, &new).await?,
--- a/hub/src/reports.rs
+++ b/hub/src/reports.rs
@@ -6,21 +6,21 @@
 };
 
 use crate::{
-    duty::Duty,
+    leadership::Leadership,
     operator::{Done, json, read},
 };
 
-impl Duty {
+impl Leadership {
     /// A server's report of itself.
     pub(crate) fn on_report(&self, body: &[u8]) -> Done {
         let r: Report = read(body)?;
         if r.addr.parse::<std::net::SocketAddr>().is_err() {
             return Err(refuse(Kind::Invalid, &format!("addr: {:?} is not an IP address with a port", r.addr), None));
         }
-        if !self.agree.leads() {
+        if !self.consensus.leads() {
             return Err(refuse(Kind::Unconfirmed, "", None));
         }
-        if let Some(at) = self.heard_elsewhere(&r).filter(|_| r.group.is_empty()) {
+        if let Some(at) = self.answers_elsewhere(&r).filter(|_| r.group.is_empty()) {
             let text = format!("server {:?} answers at {at}; another is of this name", r.server);
             return Err(refuse(Kind::Invalid, &text, None));
         }
@@ -30,7 +30,7 @@
 
     /// A server's word that it ends.
     pub(crate) fn on_leave(&self, server: &str) -> Done {
-        if !self.agree.leads() {
+        if !self.consensus.leads() {
             return Err(refuse(Kind::Unconfirmed, "", None));
         }
         self.left(server);
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -17,7 +17,7 @@
 use crate::{
     consensus::{Consensus, Guards, Identity},
     door::Desk,
-    duty::Duty,
+    leadership::Leadership,
     store::{Fault, Found, Store},
 };
 
@@ -71,8 +71,8 @@
 
 /// A running hub.
 pub struct Hub {
-    pub agree: Rc<Consensus>,
-    pub duty: Rc<Duty>,
+    pub consensus: Rc<Consensus>,
+    pub leadership: Rc<Leadership>,
     pub relay: Rc<Relay>,
     pub door: Door,
     _tree: Tree,
@@ -80,20 +80,20 @@
 }
 
 struct Root {
-    agree: Rc<Consensus>,
-    duty: std::cell::RefCell<Option<Rc<Duty>>>,
+    consensus: Rc<Consensus>,
+    leadership: std::cell::RefCell<Option<Rc<Leadership>>>,
     env: Env,
 }
 
 impl Root {
-    fn duty(&self) -> Rc<Duty> {
-        self.duty.borrow().clone().expect("the duty is set before the relay runs")
+    fn leadership(&self) -> Rc<Leadership> {
+        self.leadership.borrow().clone().expect("the leadership is set before the relay runs")
     }
 }
 
 impl Head for Root {
     fn rooted(&self) -> bool {
-        self.agree.leads()
+        self.consensus.leads()
     }
 
     fn beat(&self, _beat: &mut Beat) {}
@@ -103,13 +103,13 @@
     fn news(&self, _news: &Rc<Snapshot>) {}
 
     fn beaten(&self, beat: Beat) -> Option<BeatReturn> {
-        self.duty().beaten(beat)
+        self.leadership().on_heartbeat(beat)
     }
 
     fn asked(&self, ask: Ask, done: Box<dyn FnOnce(AskReturn)>) {
-        let duty = self.duty();
+        let leadership = self.leadership();
         let task = async move {
-            let out = duty.answer(&ask.method, &ask.path, ask.body).await;
+            let out = leadership.answer(&ask.method, &ask.path, ask.body).await;
             let retry = out.header("retry-after").and_then(|r| r.parse().ok()).unwrap_or(0);
             let (origin, boot, nonce) = (ask.origin, ask.boot, ask.nonce);
             done(AskReturn { origin, nonce, code: u32::from(out.code), retry, body: out.body, boot });
@@ -118,19 +118,19 @@
     }
 
     fn other(&self, from: &Hello, body: Body, out: &Out) {
-        if from.hub && self.agree.agrees(&from.name, from.rule) {
-            self.agree.frame(&from.name, body, Some(out.clone()));
+        if from.hub && self.consensus.agrees(&from.name, from.rule) {
+            self.consensus.frame(&from.name, body, Some(out.clone()));
         }
     }
 
     fn met(&self, from: &Hello) {
-        if from.hub && self.agree.agrees(&from.name, from.rule) {
-            self.agree.met(&from.peer);
+        if from.hub && self.consensus.agrees(&from.name, from.rule) {
+            self.consensus.met(&from.peer);
         }
     }
 
     fn hello(&self, hello: &mut Hello) {
-        self.agree.hello(hello);
+        self.consensus.hello(hello);
     }
 }
 
@@ -185,41 +185,41 @@
         seeds: place.seeds.clone(),
     };
     let target = place.losses * 2 + 1;
-    let (agree, jobs) = Consensus::new(env, identity, who.boot, place.bounds.clone(), target, state, guards);
+    let (consensus, jobs) = Consensus::new(env, identity, who.boot, place.bounds.clone(), target, state, guards);
     let relay = Relay::new(env, who.clone(), place.bounds.clone());
-    let root = Rc::new(Root { agree: agree.clone(), duty: Default::default(), env: env.clone() });
-    let duty = Duty::new(env, agree.clone(), relay.clone(), place, manner, tricks);
-    *root.duty.borrow_mut() = Some(duty.clone());
+    let root = Rc::new(Root { consensus: consensus.clone(), leadership: Default::default(), env: env.clone() });
+    let leadership = Leadership::new(env, consensus.clone(), relay.clone(), place, manner, tricks);
+    *root.leadership.borrow_mut() = Some(leadership.clone());
     relay.lead(root);
     let door = Door::new(place.most_sessions, place.most_body);
 
-    let desk = [env.spawn(agree.clone().run(jobs, store)), env.spawn(agree.clone().ticks())];
+    let desk = [env.spawn(consensus.clone().run(jobs, store)), env.spawn(consensus.clone().ticks())];
     let mut tree = Tree::new(env);
-    let a = agree.clone();
+    let a = consensus.clone();
     tree.child("peers", move || a.clone().keep_links());
     relay.tend(&mut tree, peer);
-    let d = duty.clone();
-    tree.child("duty", move || d.clone().run());
+    let d = leadership.clone();
+    tree.child("leadership", move || d.clone().run());
     let (e, d) = (env.clone(), door.clone());
-    let (r, a) = (relay.clone(), agree.clone());
+    let (r, a) = (relay.clone(), consensus.clone());
     tree.child("door", move || {
         let (r, a) = (r.clone(), a.clone());
-        let make = Rc::new(move || Rc::new(Desk { relay: r.clone(), agree: a.clone() }) as Rc<dyn Session>);
+        let make = Rc::new(move || Rc::new(Desk { relay: r.clone(), consensus: a.clone() }) as Rc<dyn Session>);
         http::serve(e.clone(), sock.clone(), d.clone(), make)
     });
     env.log(Part::Main, format!("hub {} in area {} serves {}", who.name, who.area, place.http));
-    Ok(Hub { agree, duty, relay, door, _tree: tree, _desk: desk })
+    Ok(Hub { consensus, leadership, relay, door, _tree: tree, _desk: desk })
 }
 
 impl Hub {
     /// Takes a changed address of the platform.
     pub fn platform(&self, addr: Option<std::net::SocketAddr>) {
-        self.duty.platform.set(addr);
+        self.leadership.platform.set(addr);
     }
 
     /// Hands over what this hub does and closes its doors.
     pub async fn leave(&self) {
-        self.agree.leave().await;
+        self.consensus.leave().await;
         self.relay.leave();
         self.door.end();
     }
