--- a/hub/tests/flags.rs
+++ b/hub/tests/flags.rs
@@ -32,7 +32,8 @@
 #[test]
 fn an_image_is_taken_only_from_a_stopped_hub_that_holds_one() {
     let folder = std::env::temp_dir().join(format!("portspoke-rescue-{}", std::process::id()));
-    let sock = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    // An address of its own: no other process takes the port once it is free.
+    let sock = std::net::TcpListener::bind("127.77.0.1:0").unwrap();
     let peer = sock.local_addr().unwrap().to_string();
     let run = |word: &str| {
         let mut args: Vec<&str> = vec!["--name", "h1", "--area", "north", "--http", "127.0.0.1:1", "--peer", &peer];
