--- a/base/src/talk/line.rs
+++ b/base/src/talk/line.rs
@@ -80,7 +80,7 @@
 }
 
 /// A manner of speaking to servers and platform.
-pub trait Manner {
+pub trait ServerProtocol {
     /// Opens a session at a server of a group. `Unsent` where nobody listens, `Unsure` where one is there and takes no
     /// session.
     fn open(&self, env: &Env, addr: SocketAddr, group: &str, server: &str) -> Local<Result<Box<dyn Line>, Fault>>;
--- a/base/src/talk/mod.rs
+++ b/base/src/talk/mod.rs
@@ -5,7 +5,7 @@
 mod request;
 mod seat;
 
-pub use line::{Line, Manner, Naming, Refused, Reply, Row, Verdict};
+pub use line::{Line, Naming, Refused, Reply, Row, ServerProtocol, Verdict};
 pub use request::{Once, Repeatable, Request};
 pub use seat::{Fail, Host, Phase, Seat, Told};
 
--- a/hub/src/leadership/elections.rs
+++ b/hub/src/leadership/elections.rs
@@ -311,7 +311,7 @@
             self.log(Part::Elect, format!("new leader needed for {}: {why}", g.name));
             self.relay.call();
             self.bell.ring();
-            while !self.leases.borrow().primary_free(&g.name, self.env.now()) && !self.tricks.no_wait {
+            while !self.leases.borrow().primary_free(&g.name, self.env.now()) && !self.disabled.no_wait {
                 self.env.sleep(self.bounds.pulse() / 4).await;
                 if !self.consensus.leads() {
                     return;
@@ -329,7 +329,7 @@
             }
             let Some(image) = self.consensus.image() else { return };
             let Some(g) = &image.groups.iter().find(|x| x.name == g.name).cloned() else { return };
-            let need = if self.tricks.read_one { 1 } else { self.need(&image, g) };
+            let need = if self.disabled.read_one { 1 } else { self.need(&image, g) };
             let rows = self.runners(g, &image, since);
             if rows.len() < need {
                 let why =
--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -229,7 +229,7 @@
         let noted = image.elect(&g.name).cloned();
         // Nothing was ever granted for a group of which nothing is written down.
         let known = noted.as_ref().is_none_or(|e| e.server == p.name && e.line == p.line);
-        let out = || self.leases.borrow().primary_handed_back(&g.name, self.env.now(), known) || self.tricks.no_wait;
+        let out = || self.leases.borrow().primary_handed_back(&g.name, self.env.now(), known) || self.disabled.no_wait;
         for _ in 0..20 {
             if out() {
                 break;
@@ -300,7 +300,7 @@
     fn fencing_token(&self, group: &str, server: &str) -> u64 {
         let mut all = self.namings.borrow_mut();
         let (count, last) = all.entry(group.into()).or_default();
-        if last != server && !self.tricks.one_fence {
+        if last != server && !self.disabled.one_fence {
             *count += 1;
             *last = server.into();
         }
@@ -369,7 +369,7 @@
         self.edit(&g.name, |s| s.waits_for_list = false);
         let line = self.newest(g) + 1;
         self.log(Part::Elect, format!("new leader needed for {}", g.name));
-        if self.tricks.no_hold {
+        if self.disabled.no_hold {
             let alive = |s: &&String| self.talks.borrow().get(*s).is_some_and(|t| t.open.is_none());
             let some = others.iter().find(alive).cloned();
             if let Some(s) = some {
--- a/hub/src/leadership/log_membership.rs
+++ b/hub/src/leadership/log_membership.rs
@@ -73,7 +73,7 @@
 
     /// Whether what a server shows counts towards a quorum.
     pub(super) fn counts(&self, image: &Image, server: &str) -> bool {
-        if self.tricks.no_roll {
+        if self.disabled.no_roll {
             return true;
         }
         let Some(l) = image.log(server) else { return false };
--- a/hub/src/leadership/membership.rs
+++ b/hub/src/leadership/membership.rs
@@ -21,7 +21,7 @@
     /// Whether an election may rest on the list: it was found complete, and nobody has made itself known since who is
     /// not on it.
     pub(super) fn list_stands(&self, group: &Group) -> bool {
-        if self.tricks.any_list {
+        if self.disabled.any_list {
             return true;
         }
         let Some(image) = self.consensus.image() else { return false };
--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -25,7 +25,7 @@
     permits::Permits,
     seam::{Env, Part},
     settings::Place,
-    talk::Manner,
+    talk::ServerProtocol,
 };
 use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
 
@@ -33,7 +33,7 @@
     consensus::Consensus,
     leases::{self, Holder, LeaseTable},
     operator,
-    run::Tricks,
+    run::DisabledGuards,
 };
 
 use election_record::Pending;
@@ -56,7 +56,7 @@
     pub(crate) relay: Rc<Relay>,
     pub(crate) bounds: Bounds,
     pub(crate) platform: Cell<Option<SocketAddr>>,
-    pub(crate) manner: Option<Rc<dyn Manner>>,
+    pub(crate) manner: Option<Rc<dyn ServerProtocol>>,
     /// What servers that confirm are to be told, and what they last showed of themselves.
     talks: RefCell<BTreeMap<String, ServerStatus>>,
     servers: RefCell<BTreeMap<String, ServerRecord>>,
@@ -89,7 +89,7 @@
     pub(crate) listed_zones: Vec<String>,
     /// Rung when servers, nodes or grants moved.
     pub bell: Bell,
-    pub(crate) tricks: Tricks,
+    pub(crate) disabled: DisabledGuards,
 }
 
 impl Leadership {
@@ -99,8 +99,8 @@
         consensus: Rc<Consensus>,
         relay: Rc<Relay>,
         place: &Place,
-        manner: Option<Rc<dyn Manner>>,
-        tricks: Tricks,
+        manner: Option<Rc<dyn ServerProtocol>>,
+        disabled: DisabledGuards,
     ) -> Rc<Self> {
         let me = Rc::new(Self {
             env: env.clone(),
@@ -130,7 +130,7 @@
             orders: Permits::new(operator::MOST_ORDERS),
             listed_zones: place.zones.clone(),
             bell: Bell::default(),
-            tricks,
+            disabled,
         });
         let weak = Rc::downgrade(&me);
         me.consensus.report_leases(move || {
@@ -397,9 +397,9 @@
         for g in &image.groups {
             for s in &g.servers {
                 let cold = self.servers.borrow().get(s).map_or(0.0, |t| t.cold);
-                let cold = if self.tricks.no_ramp { 0.0 } else { cold };
+                let cold = if self.disabled.no_ramp { 0.0 } else { cold };
                 let cap = leases::cap(g.cap, cold);
-                let count = match self.tricks.no_ledger {
+                let count = match self.disabled.no_ledger {
                     true => cap,
                     false => table.share(s, holder, cap, now, until, g.confirms),
                 };
--- a/hub/src/leadership/readings.rs
+++ b/hub/src/leadership/readings.rs
@@ -4,7 +4,7 @@
     edge::backend::{self, Signs},
     http::{Client, Fault},
     seam::Job,
-    talk::{Act, Line, Manner, Row, Said},
+    talk::{Act, Line, Row, Said, ServerProtocol},
     words::Position,
 };
 use bytes::Bytes;
@@ -113,7 +113,7 @@
     }
 
     /// Reads one server that confirms, and tells it what it is ordered.
-    async fn talk(&self, server: String, addr: SocketAddr, group: String, manner: Rc<dyn Manner>) {
+    async fn talk(&self, server: String, addr: SocketAddr, group: String, manner: Rc<dyn ServerProtocol>) {
         let span = self.bounds.call();
         loop {
             let start = self.env.now();
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -3,14 +3,14 @@
 pub mod consensus;
 mod door;
 mod entrance;
-mod ground;
 mod leadership;
 pub mod leases;
+mod on_platform;
 pub mod operator;
 mod reports;
 pub mod rescue;
 pub mod run;
 pub mod store;
 
-pub use ground::Ground;
-pub use run::{Hub, Tricks, run, run_in};
+pub use on_platform::PlatformHub;
+pub use run::{DisabledGuards, Hub, run, run_in};
--- a/hub/src/ground.rs
+++ b/hub/src/on_platform.rs
@@ -11,10 +11,10 @@
 };
 use platform::Given;
 
-use crate::{Hub, Tricks, entrance::Entrance, operator::MOST_ORDERS, run_in, store::Fault};
+use crate::{DisabledGuards, Hub, entrance::Entrance, operator::MOST_ORDERS, run_in, store::Fault};
 
 /// A hub that answers servers and operators in the users' manner.
-pub struct Ground {
+pub struct PlatformHub {
     env: Env,
     pub hub: Hub,
     door: Door,
@@ -22,10 +22,10 @@
     _tree: Tree,
 }
 
-impl Ground {
+impl PlatformHub {
     /// Starts it; it runs for as long as the returned value lives.
-    pub async fn start(env: &Env, given: &Given, place: &Place, tricks: Tricks) -> Result<Self, Fault> {
-        let hub = run_in(env, place, tricks, Some(platform::Speech::shared())).await?;
+    pub async fn start(env: &Env, given: &Given, place: &Place, disabled: DisabledGuards) -> Result<Self, Fault> {
+        let hub = run_in(env, place, disabled, Some(platform::Speech::shared())).await?;
         let door = Door::new(place.most_sessions, place.most_body);
         let mut tree = Tree::new(env);
         if let Some(addr) = given.control {
--- a/hub/src/operator/apply.rs
+++ b/hub/src/operator/apply.rs
@@ -10,7 +10,7 @@
 };
 use wire::Image;
 
-use crate::run::Tricks;
+use crate::run::DisabledGuards;
 
 /// The whole set that is to be in force.
 pub struct Wanted {
@@ -56,10 +56,10 @@
 }
 
 /// The state with a set in force; its faults where it can't be taken.
-pub fn apply(tricks: Tricks, old: &Image, wanted: Wanted) -> Result<Image, Return> {
+pub fn apply(disabled: DisabledGuards, old: &Image, wanted: Wanted) -> Result<Image, Return> {
     let mut faults = operator::check(&wanted.doorways, &wanted.groups, &wanted.limits);
     let groups: Vec<wire::Group> = wanted.groups.iter().map(|g| member(old, g, &mut faults)).collect();
-    if !faults.is_empty() && !tricks.no_check {
+    if !faults.is_empty() && !disabled.no_check {
         return Err(refuse(Kind::Invalid, &faults.join("; "), None));
     }
     let mut new = old.clone();
--- a/hub/src/operator/evacuation.rs
+++ b/hub/src/operator/evacuation.rs
@@ -6,7 +6,7 @@
 use wire::Image;
 
 use super::{Done, order::answer};
-use crate::{leadership::Leadership, run::Tricks};
+use crate::{leadership::Leadership, run::DisabledGuards};
 
 /// The zones that an order may name.
 #[derive(Clone, Debug)]
@@ -22,7 +22,7 @@
     fn zones(&self) -> Zones {
         let now = self.env.now();
         let mut names: BTreeSet<String> = self.zones_heard().into_iter().collect();
-        if self.tricks.soft_zones {
+        if self.disabled.soft_zones {
             return Zones { names, complete: true };
         }
         names.extend(self.listed_zones.iter().cloned());
@@ -34,18 +34,18 @@
     /// Empties a zone of work, or takes that back.
     pub(super) async fn on_evacuation(&self, zone: &str, empty: bool) -> Done {
         let zones = self.zones();
-        let tricks = self.tricks;
+        let disabled = self.disabled;
         let zone = zone.to_string();
-        self.change(move |old| evacuate(tricks, zones.clone(), old, &zone, empty)).await
+        self.change(move |old| evacuate(disabled, zones.clone(), old, &zone, empty)).await
     }
 }
 
-fn evacuate(tricks: Tricks, mut zones: Zones, old: &Image, zone: &str, empty: bool) -> Result<Image, Return> {
-    if !tricks.soft_zones {
+fn evacuate(disabled: DisabledGuards, mut zones: Zones, old: &Image, zone: &str, empty: bool) -> Result<Image, Return> {
+    if !disabled.soft_zones {
         zones.names.extend(old.spots.iter().map(|s| s.area.clone()));
     }
     let is_empty = old.emptied.iter().any(|z| z == zone);
-    if is_empty == empty && (is_empty || zones.names.contains(zone)) && !tricks.soft_zones {
+    if is_empty == empty && (is_empty || zones.names.contains(zone)) && !disabled.soft_zones {
         // Sent again: it is as it was to be.
         return Err(answer(old));
     }
--- a/hub/src/operator/order.rs
+++ b/hub/src/operator/order.rs
@@ -18,7 +18,7 @@
     identity::{Identity, Memory},
     json, read,
 };
-use crate::{leadership::Leadership, run::Tricks};
+use crate::{leadership::Leadership, run::DisabledGuards};
 
 /// The highest number of a set: every reader of JSON takes it for what it is, and there is always a next one.
 const HIGHEST_NUMBER: u64 = (1 << 53) - 1;
@@ -68,7 +68,7 @@
         {
             match make(&old) {
                 Ok(new) => self.relieve_leavers(&old, &new).await?,
-                Err(ret) if self.tricks.early_verdict => return Err(ret),
+                Err(ret) if self.disabled.early_verdict => return Err(ret),
                 // Only a state that was confirmed after the order came may judge it.
                 Err(_) => {}
             }
@@ -90,24 +90,24 @@
 
     pub(super) async fn on_set(&self, body: &[u8]) -> Done {
         let set: Set = read(body)?;
-        let tricks = self.tricks;
+        let disabled = self.disabled;
         let basis = Basis::new("PUT", set.after, set.number, body);
         self.adopt(move |old| {
-            basis.check(tricks, old)?;
+            basis.check(disabled, old)?;
             let wanted = Wanted::from_set(old, &set);
-            basis.take(apply::apply(tricks, old, wanted)?)
+            basis.take(apply::apply(disabled, old, wanted)?)
         })
         .await
     }
 
     pub(super) async fn on_change(&self, body: &[u8]) -> Done {
         let change: Change = read(body)?;
-        let tricks = self.tricks;
+        let disabled = self.disabled;
         let basis = Basis::new("PATCH", Some(change.after), change.number, body);
         self.adopt(move |old| {
-            basis.check(tricks, old)?;
+            basis.check(disabled, old)?;
             let wanted = Wanted::from_change(old, &change)?;
-            basis.take(apply::apply(tricks, old, wanted)?)
+            basis.take(apply::apply(disabled, old, wanted)?)
         })
         .await
     }
@@ -125,26 +125,26 @@
     }
 
     /// Refuses one that builds on another version than the newest; one that was taken already is answered so.
-    fn check(&self, tricks: Tricks, old: &Image) -> Result<(), Return> {
+    fn check(&self, disabled: DisabledGuards, old: &Image) -> Result<(), Return> {
         if let Some(identity) = &self.identity
-            && !tricks.no_order_memory
+            && !disabled.no_order_memory
         {
             match identity.recall(old, self.after) {
                 Memory::Taken => return Err(answer(old)),
-                Memory::Forgotten if !tricks.refuse_forgotten => {
+                Memory::Forgotten if !disabled.refuse_forgotten => {
                     let text = format!("number: {} is too old to tell whether it was taken", identity.number);
                     return Err(refuse(Kind::Unknown, &text, None));
                 }
                 Memory::Forgotten | Memory::New => {}
             }
         }
-        self.check_base(tricks, old)?;
+        self.check_base(disabled, old)?;
         self.check_number(old)
     }
 
-    fn check_base(&self, tricks: Tricks, old: &Image) -> Result<(), Return> {
+    fn check_base(&self, disabled: DisabledGuards, old: &Image) -> Result<(), Return> {
         let now = if self.identity.is_some() { old.number } else { old.sequence };
-        if tricks.no_compare || self.after.is_none_or(|n| n == now) {
+        if disabled.no_compare || self.after.is_none_or(|n| n == now) {
             return Ok(());
         }
         let text = format!("the newest sequence is {now}");
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -6,7 +6,7 @@
     http::{self, Door, Session},
     seam::{Env, Part},
     settings::Place,
-    talk::Manner,
+    talk::ServerProtocol,
     tree::Tree,
 };
 use wire::{
@@ -23,7 +23,7 @@
 
 /// Guards that tests take away to see that they are needed; the programs leave all in place.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Tricks {
+pub struct DisabledGuards {
     /// Elect without waiting for grants to run out.
     pub no_wait: bool,
     /// Elect after reading a single server.
@@ -135,12 +135,17 @@
 }
 
 /// Starts a hub; it runs for as long as the returned value lives.
-pub async fn run(env: &Env, place: &Place, tricks: Tricks) -> Result<Hub, Fault> {
-    run_in(env, place, tricks, None).await
+pub async fn run(env: &Env, place: &Place, disabled: DisabledGuards) -> Result<Hub, Fault> {
+    run_in(env, place, disabled, None).await
 }
 
 /// Starts a hub that speaks to servers which confirm commits in the users' manner.
-pub async fn run_in(env: &Env, place: &Place, tricks: Tricks, manner: Option<Rc<dyn Manner>>) -> Result<Hub, Fault> {
+pub async fn run_in(
+    env: &Env,
+    place: &Place,
+    disabled: DisabledGuards,
+    manner: Option<Rc<dyn ServerProtocol>>,
+) -> Result<Hub, Fault> {
     let who = Who {
         name: place.name.clone(),
         area: place.area.clone(),
@@ -151,7 +156,7 @@
         boot: env.rand(),
     };
     let (mut store, mut state, found) = Store::open(env, LOG).await?;
-    if tricks.no_recall {
+    if disabled.no_recall {
         state = Default::default();
     }
     match found {
@@ -170,12 +175,12 @@
     let peer = env.listen(place.peer).await?;
     let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(place.http).await?)));
     let guards = Guards {
-        any_incarnation: tricks.blank_votes,
-        no_lease: tricks.no_lease,
-        any_bounds: tricks.any_rule,
-        early_verdict: tricks.early_verdict,
-        no_joint: tricks.no_joint,
-        form_again: tricks.form_again,
+        any_incarnation: disabled.blank_votes,
+        no_lease: disabled.no_lease,
+        any_bounds: disabled.any_rule,
+        early_verdict: disabled.early_verdict,
+        no_joint: disabled.no_joint,
+        form_again: disabled.form_again,
         ..Guards::default()
     };
     let identity = Identity {
@@ -188,7 +193,7 @@
     let (consensus, jobs) = Consensus::new(env, identity, who.boot, place.bounds.clone(), target, state, guards);
     let relay = Relay::new(env, who.clone(), place.bounds.clone());
     let root = Rc::new(Root { consensus: consensus.clone(), leadership: Default::default(), env: env.clone() });
-    let leadership = Leadership::new(env, consensus.clone(), relay.clone(), place, manner, tricks);
+    let leadership = Leadership::new(env, consensus.clone(), relay.clone(), place, manner, disabled);
     *root.leadership.borrow_mut() = Some(leadership.clone());
     relay.lead(root);
     let door = Door::new(place.most_sessions, place.most_body);
--- a/kit/src/sim/hall.rs
+++ b/kit/src/sim/hall.rs
@@ -19,8 +19,8 @@
     pub zones: bool,
     /// A server that sends no heartbeats until it is told to.
     pub silent: Option<&'static str>,
-    pub hub: hub::Tricks,
-    pub spoke: spoke::Tricks,
+    pub hub: hub::DisabledGuards,
+    pub spoke: spoke::DisabledGuards,
 }
 
 impl Default for Build {
@@ -163,23 +163,23 @@
             What::Hub { text } => Box::pin(async move {
                 let given = platform::read(&text, true).expect("settings");
                 let place = given.set.check().expect("settings");
-                let ground = match hub::Ground::start(&env, &given, &place, build.hub).await {
+                let node = match hub::PlatformHub::start(&env, &given, &place, build.hub).await {
                     Ok(g) => g,
                     Err(e) => return env.die(&e.to_string()),
                 };
                 asked(&env).await;
-                ground.leave().await;
+                node.leave().await;
                 env.die("ended as asked");
             }),
             What::Spoke { text } => Box::pin(async move {
                 let given = platform::read(&text, false).expect("settings");
                 let place = given.set.check().expect("settings");
-                let ground = match spoke::Ground::start(&env, &given, &place, build.spoke).await {
+                let node = match spoke::PlatformSpoke::start(&env, &given, &place, build.spoke).await {
                     Ok(g) => g,
                     Err(e) => return env.die(&e.to_string()),
                 };
                 asked(&env).await;
-                ground.leave().await;
+                node.leave().await;
                 env.die("ended as asked");
             }),
         };
--- a/kit/src/sim/mod.rs
+++ b/kit/src/sim/mod.rs
@@ -19,4 +19,4 @@
 pub use operators::Operators;
 pub use swarm::{Draw, Outcome, swarm};
 pub use timeline::{Scene, act, drawn, play};
-pub use town::{Build, Town, Tricks};
+pub use town::{Build, DisabledGuards, Town};
--- a/kit/src/sim/swarm.rs
+++ b/kit/src/sim/swarm.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use super::{Build, KINDS, Town, Tricks, harm::harm};
+use super::{Build, DisabledGuards, KINDS, Town, harm::harm};
 use crate::load::{End, Event, GAVE_UP};
 
 /// What one seed came to.
@@ -48,7 +48,7 @@
 }
 
 /// Runs one seed. One in eight of those that draw at will has a deployment's own size and load.
-pub fn swarm(seed: u64, tricks: Tricks, draw: Draw) -> Outcome {
+pub fn swarm(seed: u64, tricks: DisabledGuards, draw: Draw) -> Outcome {
     let large = draw == Draw::Any && seed.is_multiple_of(8);
     let machines = if large { [9, 11][seed as usize / 8 % 2] } else { 6 };
     let (sessions, rate) = if large { (300, 450.0) } else { (90, 60.0) };
--- a/kit/src/sim/timeline.rs
+++ b/kit/src/sim/timeline.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use super::{Build, Town, Tricks};
+use super::{Build, DisabledGuards, Town};
 
 /// What a scene came to.
 pub struct Scene {
@@ -14,7 +14,7 @@
 /// then a word for each column, `.` for nothing. Words: `kill`, `dark`, `start`, `freeze`, `thaw`, `wipe`, `short` (an older copy of its data), `rot`,
 /// `full`, `room`, `mute`, `late` (answers after their due), `reset`, `stall`, `flow`, `sick`, `well`, `drain`, `drained`, `wish` (a planned change of leader), `leave`, `odd` and `even` (started anew with a blueprint bound twenty times as long, or with its own), `cut-short` and `thrice` (callers at that node), `join` and `quit` (a server and its group), `cut>NAMES` (one way), `part>NAMES` (both ways), `heal>NAMES`, `empty`, `back`,
 /// and `fast` or `slow` for its clock. A column may be any process, an area, or `*` (only `mend`).
-pub fn play(seed: u64, tricks: Tricks, text: &str) -> Scene {
+pub fn play(seed: u64, tricks: DisabledGuards, text: &str) -> Scene {
     let mut lines = text.lines().map(str::trim).filter(|l| !l.is_empty());
     let names: Vec<&str> = lines.next().expect("a line of names").split_whitespace().skip(1).collect();
     let town = Town::new(seed, Build { tricks, ..Build::default() });
--- a/kit/src/sim/town/tricks.rs
+++ b/kit/src/sim/town/guards.rs
@@ -1,11 +1,11 @@
 /// Guards taken away for a run.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Tricks {
-    pub spoke: spoke::Tricks,
-    pub hub: hub::Tricks,
+pub struct DisabledGuards {
+    pub spoke: spoke::DisabledGuards,
+    pub hub: hub::DisabledGuards,
 }
 
-impl Tricks {
+impl DisabledGuards {
     /// The names of all guards that can be taken away.
     pub const NAMES: [&str; 26] = [
         "wait",
--- a/kit/src/sim/town/mod.rs
+++ b/kit/src/sim/town/mod.rs
@@ -2,11 +2,11 @@
 
 mod desk;
 mod faults;
+mod guards;
 mod judge;
 mod launch;
-mod tricks;
 
-pub use tricks::Tricks;
+pub use guards::DisabledGuards;
 
 use std::{
     cell::{Cell, RefCell},
@@ -36,13 +36,13 @@
     pub warm: Duration,
     /// How long a statement takes.
     pub work: Duration,
-    pub tricks: Tricks,
+    pub tricks: DisabledGuards,
 }
 
 impl Default for Build {
     fn default() -> Self {
         let (warm, work) = (Duration::from_secs(1), Duration::from_millis(1));
-        Self { machines: 6, cap: 40, warm, work, tricks: Tricks::default() }
+        Self { machines: 6, cap: 40, warm, work, tricks: DisabledGuards::default() }
     }
 }
 
@@ -75,7 +75,7 @@
     pub layout: Layout,
     pub history: Rc<History>,
     pub words: Rc<Words>,
-    pub tricks: Tricks,
+    pub tricks: DisabledGuards,
     pub seed: u64,
     procs: RefCell<BTreeMap<String, Proc>>,
     pub servers: Rc<RefCell<BTreeMap<String, Rc<Server>>>>,
--- a/kit/src/tool/sim.rs
+++ b/kit/src/tool/sim.rs
@@ -8,10 +8,9 @@
 pub fn sim(a: &SimArgs) {
     let ends = a.seeds.split_once("..").and_then(|(f, l)| Some((f.parse::<u64>().ok()?, l.parse::<u64>().ok()?)));
     let Some((first, last)) = ends else { usage(format!("--seeds {:?}: FIRST..LAST", a.seeds)) };
-    let tricks = a
-        .without
-        .as_deref()
-        .map(|n| kit::sim::Tricks::without(n).unwrap_or_else(|| usage(format!("--without {n:?}: no such guard"))));
+    let tricks = a.without.as_deref().map(|n| {
+        kit::sim::DisabledGuards::without(n).unwrap_or_else(|| usage(format!("--without {n:?}: no such guard")))
+    });
     let tricks = tricks.unwrap_or_default();
     let mut whys: std::collections::BTreeMap<String, u64> = Default::default();
     let (mut bad, mut during, mut after, mut back, mut runs) = (0, 0.0, 0.0, 0, 0.0);
--- a/kit/tests/never.rs
+++ b/kit/tests/never.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use kit::sim::{Build, Draw, Town, Tricks, act, drawn, play, swarm};
+use kit::sim::{Build, DisabledGuards, Draw, Town, act, drawn, play, swarm};
 
 /// Seeds that must be clean with the guard in place.
 const CLEAN: u64 = 6;
@@ -11,7 +11,7 @@
 const SHOWN: u64 = 100;
 
 fn guarded(guard: &str, text: &str) {
-    let bare = Tricks::without(guard).expect("a known guard");
+    let bare = DisabledGuards::without(guard).expect("a known guard");
     let shown = (1..=SHOWN).find(|seed| !play(*seed, bare, text).findings.is_empty());
     assert!(shown.is_some(), "without {guard} nothing was found in {SHOWN} seeds");
     for seed in (1..=CLEAN).chain(shown) {
@@ -20,7 +20,7 @@
 }
 
 fn clean(seed: u64, text: &str) {
-    let scene = play(seed, Tricks::default(), text);
+    let scene = play(seed, DisabledGuards::default(), text);
     assert!(scene.findings.is_empty(), "seed {seed}: {:#?}\n{}", scene.findings, drawn(&scene.town));
 }
 
@@ -146,7 +146,7 @@
             15   .     join  .     .     join  .     .      .      .
             24   .     .     .     .     .     .     .      .      .
         ";
-        let scene = play(seed, Tricks::default(), text);
+        let scene = play(seed, DisabledGuards::default(), text);
         let log = drawn(&scene.town);
         assert!(scene.findings.is_empty(), "seed {seed}: {:#?}\n{log}", scene.findings);
         for what in ["g1-a has left", "g2-b has left", "g1-d has caught up", "g2-d has caught up", "g3-a has caught up"]
@@ -167,7 +167,7 @@
             6.5  .     start
             14   .     .
         ";
-        let scene = play(seed, Tricks::default(), text);
+        let scene = play(seed, DisabledGuards::default(), text);
         let log = drawn(&scene.town);
         assert!(scene.findings.is_empty(), "seed {seed}: {:#?}\n{log}", scene.findings);
         assert!(log.contains("g1-a has caught up") && scene.town.report().good[12..].iter().all(|n| *n > 40), "{log}");
@@ -246,11 +246,11 @@
 /// All hubs are lost at once and come back with what their disks hold.
 #[test]
 fn service_is_back_after_all_machines_return() {
-    let bare = Tricks::without("recall").expect("a known guard");
+    let bare = DisabledGuards::without("recall").expect("a known guard");
     let out = swarm(1, bare, Draw::Only("nothing"));
     assert!(out.findings.iter().any(|f| f.contains("service was not back")), "{:#?}", out.findings);
     for seed in 1..=3 {
-        let out = swarm(seed, Tricks::default(), Draw::Only("nothing"));
+        let out = swarm(seed, DisabledGuards::default(), Draw::Only("nothing"));
         assert!(out.findings.is_empty() && out.back <= 8, "{} {:#?}", out.back, out.findings);
     }
 }
@@ -295,7 +295,7 @@
 fn two_areas_apart_for_long_are_both_served() {
     for (seed, pair) in [(1, "part>mid"), (2, "part>south"), (3, "part>mid")] {
         let text = format!("\n s north\n 2 {pair}\n 24 .\n");
-        let scene = play(seed, Tricks::default(), &text);
+        let scene = play(seed, DisabledGuards::default(), &text);
         assert!(scene.findings.is_empty(), "seed {seed}: {:#?}", scene.findings);
         let report = scene.town.report();
         let late = |list: &[u64]| list[10..24].iter().sum::<u64>() as f64;
@@ -512,7 +512,7 @@
     for seed in 1..=3 {
         let scene = play(
             seed,
-            Tricks::default(),
+            DisabledGuards::default(),
             "
             s    h1
             2    full
@@ -552,7 +552,7 @@
 #[test]
 fn shares_never_sum_to_more_than_the_cap() {
     let build = Build { cap: 16, work: Duration::from_millis(60), ..Build::default() };
-    let bare = Build { tricks: Tricks::without("ledger").unwrap(), ..build };
+    let bare = Build { tricks: DisabledGuards::without("ledger").unwrap(), ..build };
     assert!(!busy(1, bare, "").is_empty(), "nothing was found without the ledger");
     for seed in 1..=3 {
         assert_eq!(busy(seed, build, ""), Vec::<String>::new(), "seed {seed}");
@@ -564,7 +564,7 @@
 fn a_cold_server_is_not_flooded() {
     let (work, warm) = (Duration::from_millis(300), Duration::from_secs(8));
     let build = Build { cap: 48, work, warm, ..Build::default() };
-    let bare = Build { tricks: Tricks::without("ramp").unwrap(), ..build };
+    let bare = Build { tricks: DisabledGuards::without("ramp").unwrap(), ..build };
     assert!(!busy(1, bare, "cold").is_empty(), "nothing was found without the ramp");
     for seed in 1..=3 {
         assert_eq!(busy(seed, build, "cold"), Vec::<String>::new(), "seed {seed}");
--- a/kit/tests/orders.rs
+++ b/kit/tests/orders.rs
@@ -63,7 +63,7 @@
 }
 
 /// Clean over many seeds with all guards in place; found by some seed with the guard away.
-fn guarded(text: &str, what: &str, away: impl Fn(&mut hub::Tricks)) {
+fn guarded(text: &str, what: &str, away: impl Fn(&mut hub::DisabledGuards)) {
     (1..=12).for_each(|seed| clean(seed, text));
     let found = (1..=24).any(|seed| {
         let mut build = small();
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     gauge::{Gauges, Key},
-    run::{Pools, Tricks},
+    run::{DisabledGuards, Pools},
     view::{Journal, View},
 };
 
@@ -45,7 +45,7 @@
 
 /// A doorway as a statement finds it.
 #[derive(Clone, Debug)]
-pub struct Gate {
+pub struct MatchedRoute {
     pub name: String,
     pub group: String,
     pub promise: Promise,
@@ -67,7 +67,7 @@
     pub bounds: Bounds,
     /// Serve callers on while the own area is emptied of servers.
     pub keep_on: bool,
-    pub tricks: Tricks,
+    pub disabled: DisabledGuards,
 }
 
 impl Decider {
@@ -85,26 +85,26 @@
     pub fn confirmed(&self) -> bool {
         let view = self.journal.view();
         let fresh = view.confirmed.is_some_and(|t| self.env.now() <= t + self.bounds.confirm());
-        fresh || (self.tricks.no_confirm && view.image.is_some())
+        fresh || (self.disabled.no_confirm && view.image.is_some())
     }
 
     /// Whether work may go on, in an area that was emptied no longer than `since` ago.
     fn able(&self, since: Duration) -> Result<(), Kind> {
         let emptied = self.journal.view().emptied.get(&self.area).is_some_and(|t| self.env.now() >= *t + since);
-        if emptied && !self.tricks.no_empty && !self.keep_on {
+        if emptied && !self.disabled.no_empty && !self.keep_on {
             return Err(Kind::Emptied);
         }
         if self.confirmed() { Ok(()) } else { Err(Kind::Unconfirmed) }
     }
 
     /// The doorway of a name.
-    pub fn gate(&self, name: &str) -> Result<Gate, Kind> {
+    pub fn gate(&self, name: &str) -> Result<MatchedRoute, Kind> {
         let view = self.journal.view();
         let image = view.image.as_ref().ok_or(Kind::Unconfirmed)?;
         let d: &Doorway = image.doorways.iter().find(|d| d.name == name).ok_or(Kind::NoDatabase)?;
         let promise = Promise::find(&d.promise).ok_or(Kind::NoDatabase)?;
         let span = |ms: u64| (ms > 0).then(|| Duration::from_millis(ms));
-        Ok(Gate {
+        Ok(MatchedRoute {
             name: d.name.clone(),
             group: d.group.clone(),
             promise,
@@ -127,14 +127,14 @@
     fn vetoed(&self, view: &View, server: &str, leads: bool) -> bool {
         let now = self.env.now();
         let Some(s) = view.servers.get(server) else { return true };
-        let emptied = view.emptied.get(&s.area).copied().filter(|_| !self.tricks.no_empty);
+        let emptied = view.emptied.get(&s.area).copied().filter(|_| !self.disabled.no_empty);
         if leads {
             // A leader works on until its successor does, but not past the bound.
             let since = [s.draining, emptied].into_iter().flatten().min();
             return since.is_some_and(|t| now > t + self.bounds.leave());
         }
         let dead = self.gauges.sight(server).fails > 0;
-        (s.draining.is_some() || s.gone.is_some() || emptied.is_some() || dead) && !self.tricks.no_veto
+        (s.draining.is_some() || s.gone.is_some() || emptied.is_some() || dead) && !self.disabled.no_veto
     }
 
     /// Whether a server may still be worked with.
@@ -142,13 +142,13 @@
         let leads = matches!(target.basis, Basis::Leader { .. });
         let view = self.journal.view();
         let allowed = view.image.as_ref().and_then(|i| i.home(&target.server)).is_some_and(|g| g.name == target.group);
-        (allowed || self.tricks.no_group) && !self.vetoed(&view, &target.server, leads)
+        (allowed || self.disabled.no_group) && !self.vetoed(&view, &target.server, leads)
     }
 
     fn leader(&self, view: &View, group: &str) -> Result<Target, Kind> {
         let now = self.env.now();
         let l = view.leads.get(group).ok_or(Kind::NoLeader)?;
-        if now >= l.until && !self.tricks.no_fence {
+        if now >= l.until && !self.disabled.no_fence {
             return Err(Kind::NoLeader);
         }
         if self.vetoed(view, &l.server, true) {
@@ -158,7 +158,7 @@
     }
 
     /// Where a write or a transaction may go.
-    pub fn write(&self, gate: &Gate) -> Order {
+    pub fn write(&self, gate: &MatchedRoute) -> Order {
         let now = self.env.now();
         let view = self.journal.view();
         let lead = match self.leader(&view, &gate.group) {
@@ -180,10 +180,10 @@
     }
 
     /// Where a read may go: inside the standing list, less the vetoed, with the doorway's promise kept.
-    pub fn read(&self, gate: &Gate, key: &Key, token: Token, tried: &[String]) -> Order {
+    pub fn read(&self, gate: &MatchedRoute, key: &Key, token: Token, tried: &[String]) -> Order {
         let view = self.journal.view();
         let lead = self.leader(&view, &gate.group);
-        let own = gate.promise == Promise::Session && token.unsure && !self.tricks.no_token;
+        let own = gate.promise == Promise::Session && token.unsure && !self.disabled.no_token;
         if gate.promise == Promise::Leader || own {
             return match lead {
                 Ok(t) if tried.iter().filter(|s| **s == t.server).count() < 2 => Order::Send(t),
@@ -195,8 +195,8 @@
         let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == gate.group)) else {
             return Order::Return(Kind::NoDatabase);
         };
-        let any = view.servers.keys().filter(|_| self.tricks.no_group);
-        let own = g.servers.iter().filter(|_| !self.tricks.no_group);
+        let any = view.servers.keys().filter(|_| self.disabled.no_group);
+        let own = g.servers.iter().filter(|_| !self.disabled.no_group);
         let free: Vec<&String> = own
             .chain(any)
             .filter(|s| Some(*s) != leader.as_ref() && !tried.contains(s))
@@ -215,18 +215,18 @@
     }
 
     /// On what the promise would rest if this follower answered; `None` when it can't keep it.
-    fn promise(&self, gate: &Gate, token: Token, server: &str) -> Option<Basis> {
+    fn promise(&self, gate: &MatchedRoute, token: Token, server: &str) -> Option<Basis> {
         let now = self.env.now();
         let none = Basis::Seen { place: Position::default() };
         match gate.promise {
             Promise::Leader => None,
             Promise::Any => Some(none),
-            Promise::Session if self.tricks.no_token => Some(none),
+            Promise::Session if self.disabled.no_token => Some(none),
             Promise::Session => {
                 let held = token.seen == Position::default() || self.gauges.holds(server, token.seen);
                 held.then_some(Basis::Seen { place: token.seen })
             }
-            Promise::Bound if self.tricks.no_fresh => Some(none),
+            Promise::Bound if self.disabled.no_fresh => Some(none),
             Promise::Bound => {
                 // A sixth of the bound is left for the way there and back.
                 let room = self.bounds.fresh() * 5 / 6;
@@ -236,7 +236,7 @@
         }
     }
 
-    fn choose(&self, gate: &Gate, key: &Key, fit: &[(&String, Basis)]) -> Option<Target> {
+    fn choose(&self, gate: &MatchedRoute, key: &Key, fit: &[(&String, Basis)]) -> Option<Target> {
         let mut lists = self.gauges.lists.borrow_mut();
         let list = lists.entry(key.clone()).or_default();
         let sampled = fit.iter().find(|(s, _)| {
@@ -283,12 +283,12 @@
     pub fn leads(&self, target: &Target) -> bool {
         let view = self.journal.view();
         let grant = view.leads.get(&target.group);
-        grant.is_some_and(|l| l.server == target.server && self.env.now() < l.until) || self.tricks.no_fence
+        grant.is_some_and(|l| l.server == target.server && self.env.now() < l.until) || self.disabled.no_fence
     }
 
     /// Where a read of a group whose servers confirm may go, and which position the server itself must find in its log.
     /// Inside the standing list, less the vetoed and the silent.
-    pub fn spot(&self, gate: &Gate, key: &Key, own: Position, tried: &[String]) -> Order {
+    pub fn spot(&self, gate: &MatchedRoute, key: &Key, own: Position, tried: &[String]) -> Order {
         let view = self.journal.view();
         let lead = self.leader(&view, &gate.group);
         let floor = match gate.promise {
@@ -297,9 +297,9 @@
             Promise::Bound | Promise::Session => {
                 let fresh = gate.fresh.unwrap_or(self.bounds.fresh());
                 let since = self.env.now().saturating_sub(fresh * 5 / 6);
-                let own = if self.tricks.no_token { Position::default() } else { own };
+                let own = if self.disabled.no_token { Position::default() } else { own };
                 let head = self.gauges.head(&gate.group, since).map(|(_, head)| head.max(own));
-                if self.tricks.no_fresh { Some(Position::default()) } else { head }
+                if self.disabled.no_fresh { Some(Position::default()) } else { head }
             }
         };
         let again = |s: &String| tried.iter().filter(|t| *t == s).count();
@@ -354,7 +354,7 @@
                 let view = self.journal.view();
                 let grant = view.leads.get(&target.group);
                 let stands = grant.is_some_and(|l| l.line == line && l.server == target.server && now < l.until);
-                stands || self.tricks.no_fence
+                stands || self.disabled.no_fence
             }
             Basis::Head { asked, .. } => now <= asked + self.bounds.fresh(),
             Basis::Seen { .. } => true,
@@ -364,7 +364,7 @@
     /// Whether the answer's own signs bear out what the send rests on: a server that came back without part of its
     /// log, or no longer leads, shows it.
     pub fn borne_out(&self, target: &Target, signs: &Signs) -> bool {
-        if self.tricks.grow {
+        if self.disabled.grow {
             return true;
         }
         let held = |want: Position| signs.place.is_none_or(|p| p.line >= want.line && p.index >= want.index);
@@ -384,11 +384,11 @@
         let Some(g) = view.image.as_ref().and_then(|i| i.groups.iter().find(|g| g.name == target.group)) else {
             return false;
         };
-        if self.tricks.no_second {
+        if self.disabled.no_second {
             return true;
         }
         // A leader whose log lost something gives the same places out twice.
-        if !self.gauges.counts(&target.server) && !self.tricks.grow {
+        if !self.gauges.counts(&target.server) && !self.disabled.grow {
             return false;
         }
         if g.servers.len() == 1 {
--- a/spoke/src/door/mod.rs
+++ b/spoke/src/door/mod.rs
@@ -14,13 +14,13 @@
 
 use crate::work::Caller;
 
-pub use show::Show;
+pub use show::StatusPages;
 
 /// One connection: a caller's session, or an operator or server passing by.
 pub struct Guest {
     pub caller: Caller,
     pub relay: Rc<Relay>,
-    pub show: Rc<Show>,
+    pub show: Rc<StatusPages>,
 }
 
 impl Session for Guest {
--- a/spoke/src/door/show.rs
+++ b/spoke/src/door/show.rs
@@ -4,7 +4,7 @@
 use nanoserde::SerJson;
 use wire::relay::Relay;
 
-use crate::work::Works;
+use crate::work::WorkContext;
 
 strict! {
     /// A spoke's state in short.
@@ -113,8 +113,8 @@
 }
 
 /// Answers what operators look at on this very node.
-pub struct Show {
-    pub works: Rc<Works>,
+pub struct StatusPages {
+    pub works: Rc<WorkContext>,
     pub relay: Rc<Relay>,
 }
 
@@ -126,7 +126,7 @@
     d.as_millis() as u64
 }
 
-impl Show {
+impl StatusPages {
     /// The page of a path, if it is one of this node's own.
     pub fn page(&self, path: &str) -> Option<Return> {
         match path {
--- a/spoke/src/lib.rs
+++ b/spoke/src/lib.rs
@@ -3,13 +3,13 @@
 mod decide;
 mod door;
 mod gauge;
-mod ground;
+mod on_platform;
 mod pool;
 pub mod run;
 mod talk;
 mod view;
 mod work;
 
-pub use ground::Ground;
-pub use run::{Spoke, Tricks, run, run_in};
-pub use work::Sends;
+pub use on_platform::PlatformSpoke;
+pub use run::{DisabledGuards, Spoke, run, run_in};
+pub use work::Attempts;
--- a/spoke/src/main.rs
+++ b/spoke/src/main.rs
@@ -34,10 +34,10 @@
     boot::log(&given.set.log);
     let signals = boot::Signals::new().await;
     let env = boot::world(None);
-    let ground = match spoke::Ground::start(&env, &given, &place, Default::default()).await {
-        Ok(g) => g,
+    let node = match spoke::PlatformSpoke::start(&env, &given, &place, Default::default()).await {
+        Ok(node) => node,
         Err(e) => boot::fail(&e.to_string()),
     };
     signals.until_asked(&env, || boot::reread(&env, platform::load(path, false).map(|g| g.set))).await;
-    ground.leave().await;
+    node.leave().await;
 }
--- a/spoke/src/ground.rs
+++ b/spoke/src/on_platform.rs
@@ -12,10 +12,10 @@
 };
 use platform::Given;
 
-use crate::{Spoke, Tricks, run_in};
+use crate::{DisabledGuards, Spoke, run_in};
 
 /// A spoke that serves callers in the users' manner.
-pub struct Ground {
+pub struct PlatformSpoke {
     env: Env,
     pub spoke: Spoke,
     door: Door,
@@ -42,10 +42,10 @@
     }
 }
 
-impl Ground {
+impl PlatformSpoke {
     /// Starts it; it runs for as long as the returned value lives.
-    pub async fn start(env: &Env, given: &Given, place: &Place, tricks: Tricks) -> io::Result<Self> {
-        let spoke = run_in(env, place, tricks, Some(platform::Speech::shared())).await?;
+    pub async fn start(env: &Env, given: &Given, place: &Place, disabled: DisabledGuards) -> io::Result<Self> {
+        let spoke = run_in(env, place, disabled, Some(platform::Speech::shared())).await?;
         let host = spoke.host();
         let door = Door::new(place.most_sessions, place.most_body);
         let probe = Door::new(64, 1 << 10);
--- a/spoke/src/pool/mod.rs
+++ b/spoke/src/pool/mod.rs
@@ -14,7 +14,7 @@
     Kind,
     http::Client,
     seam::Env,
-    talk::{Line, Manner},
+    talk::{Line, ServerProtocol},
 };
 use futures::channel::oneshot;
 
@@ -22,7 +22,7 @@
 
 /// Whose session state a connection wears: session, database, how many of its statements.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Dress {
+pub struct StateOwner {
     pub session: u64,
     pub name: String,
     pub count: usize,
@@ -52,11 +52,11 @@
 
 struct Conn {
     line: Link,
-    dress: Option<Dress>,
+    dress: Option<StateOwner>,
 }
 
 /// How sessions in the users' manner are opened: the manner and the group's name.
-pub type Speech = Option<(Rc<dyn Manner>, String)>;
+pub type Speech = Option<(Rc<dyn ServerProtocol>, String)>;
 
 /// The connections to one server.
 pub struct Pool {
--- a/spoke/src/pool/slot.rs
+++ b/spoke/src/pool/slot.rs
@@ -9,7 +9,7 @@
 };
 use bytes::Bytes;
 
-use super::{AppliedState, Conn, Dress, Link, Pool};
+use super::{AppliedState, Conn, Link, Pool, StateOwner};
 
 /// The largest body a server may answer with.
 const MOST: usize = 8 << 20;
@@ -76,7 +76,7 @@
         self.spoilt = true;
     }
 
-    /// Sends one statement; without an answer the connection is never used again.
+    /// Attempts one statement; without an answer the connection is never used again.
     pub async fn call(
         &mut self,
         path: &str,
@@ -158,7 +158,7 @@
     }
 
     /// Makes the connection wear exactly this session's state: wiped of any other, replayed where missing.
-    pub async fn dress(&mut self, want: &Dress, state: &[(Verb, Bytes)], due: Duration) -> Result<(), Fault> {
+    pub async fn dress(&mut self, want: &StateOwner, state: &[(Verb, Bytes)], due: Duration) -> Result<(), Fault> {
         let has = self.conn.as_ref().and_then(|c| c.dress.clone());
         let from = match &has {
             None => 0,
@@ -189,7 +189,7 @@
     }
 
     /// Notes that the connection now wears one more statement of the session.
-    pub fn wore(&mut self, dress: Dress) {
+    pub fn wore(&mut self, dress: StateOwner) {
         if let Some(c) = &mut self.conn {
             c.dress = Some(dress);
         }
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -13,7 +13,7 @@
     http::{self, Door, Session},
     seam::{Env, Part},
     settings::{Place, PolicySettings},
-    talk::{Host, Manner},
+    talk::{Host, ServerProtocol},
     tree::Tree,
 };
 use wire::{
@@ -23,17 +23,17 @@
 
 use crate::{
     decide::Decider,
-    door::{Guest, Show},
+    door::{Guest, StatusPages},
     gauge::Gauges,
     pool::Pool,
-    talk::Talks,
+    talk::SessionOpener,
     view::{Event, Journal},
-    work::{Caller, Works},
+    work::{Caller, WorkContext},
 };
 
 /// Guards that tests take away to see that they are needed; the programs leave all in place.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Tricks {
+pub struct DisabledGuards {
     /// Send a write again though its bytes may have left.
     pub resend: bool,
     /// Act on leader grants that ran out.
@@ -71,16 +71,22 @@
     env: Env,
     most: usize,
     dial: Duration,
-    manner: Option<Rc<dyn Manner>>,
+    manner: Option<Rc<dyn ServerProtocol>>,
     map: RefCell<BTreeMap<String, Rc<Pool>>>,
-    tricks: Tricks,
+    disabled: DisabledGuards,
     /// Rung when a pool came or went.
     pub bell: Bell,
 }
 
 impl Pools {
-    fn new(env: &Env, most: usize, dial: Duration, tricks: Tricks, manner: Option<Rc<dyn Manner>>) -> Rc<Self> {
-        Rc::new(Self { env: env.clone(), most, dial, manner, tricks, map: RefCell::default(), bell: Bell::default() })
+    fn new(
+        env: &Env,
+        most: usize,
+        dial: Duration,
+        disabled: DisabledGuards,
+        manner: Option<Rc<dyn ServerProtocol>>,
+    ) -> Rc<Self> {
+        Rc::new(Self { env: env.clone(), most, dial, manner, disabled, map: RefCell::default(), bell: Bell::default() })
     }
 
     /// The pool of a server.
@@ -151,7 +157,7 @@
         for (name, pool) in self.all() {
             let share = journal.view().shares.get(&name).copied();
             let limit =
-                share.filter(|(_, until)| now < *until || self.tricks.no_confirm).map_or(0, |(n, _)| n as usize);
+                share.filter(|(_, until)| now < *until || self.disabled.no_confirm).map_or(0, |(n, _)| n as usize);
             if limit != pool.limit() {
                 pool.set_limit(limit);
             }
@@ -231,22 +237,22 @@
     pub relay: Rc<Relay>,
     pub door: Door,
     gauges: Rc<Gauges>,
-    works: Rc<Works>,
+    works: Rc<WorkContext>,
     bounds: base::Bounds,
     _tree: Tree,
 }
 
 /// Starts a spoke; it runs for as long as the returned value lives.
-pub async fn run(env: &Env, place: &Place, tricks: Tricks) -> std::io::Result<Spoke> {
-    run_in(env, place, tricks, None).await
+pub async fn run(env: &Env, place: &Place, disabled: DisabledGuards) -> std::io::Result<Spoke> {
+    run_in(env, place, disabled, None).await
 }
 
 /// Starts a spoke that speaks to servers which confirm commits in the users' manner.
 pub async fn run_in(
     env: &Env,
     place: &Place,
-    tricks: Tricks,
-    manner: Option<Rc<dyn Manner>>,
+    disabled: DisabledGuards,
+    manner: Option<Rc<dyn ServerProtocol>>,
 ) -> std::io::Result<Spoke> {
     let who = Who {
         name: place.name.clone(),
@@ -261,8 +267,8 @@
     let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(place.http).await?)));
     let bounds = place.bounds.clone();
     let journal = Journal::new(env);
-    let pools = Pools::new(env, place.most_inbox, bounds.call(), tricks, manner);
-    let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone(), tricks.grow);
+    let pools = Pools::new(env, place.most_inbox, bounds.call(), disabled, manner);
+    let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone(), disabled.grow);
     let relay = Relay::new(env, who.clone(), bounds.clone());
     relay.lead(Rc::new(Node {
         env: env.clone(),
@@ -272,7 +278,7 @@
         hurry: relay.hurry.clone(),
     }));
     let door = Door::new(place.most_sessions, place.most_body);
-    door.cut.set(tricks.cut_bodies);
+    door.cut.set(disabled.cut_bodies);
     let decider = Decider {
         env: env.clone(),
         name: place.name.clone(),
@@ -282,9 +288,9 @@
         pools: pools.clone(),
         bounds: bounds.clone(),
         keep_on: place.keep_on,
-        tricks,
+        disabled,
     };
-    let works = Rc::new(Works {
+    let works = Rc::new(WorkContext {
         env: env.clone(),
         decider,
         gauges: gauges.clone(),
@@ -303,7 +309,7 @@
     tree.child("samples", move || g.clone().samples(p.clone()));
     let g = gauges.clone();
     tree.child("evaluations", move || g.clone().evaluations());
-    let show = Rc::new(Show { works: works.clone(), relay: relay.clone() });
+    let show = Rc::new(StatusPages { works: works.clone(), relay: relay.clone() });
     let (e, d, w, r) = (env.clone(), door.clone(), works.clone(), relay.clone());
     tree.child("door", move || {
         let (w, r, s) = (w.clone(), r.clone(), show.clone());
@@ -329,7 +335,7 @@
 
     /// Lets what is in flight end, hands everything back, closes the doors.
     pub async fn leave(&self) {
-        if !self.works.decider.tricks.no_linger {
+        if !self.works.decider.disabled.no_linger {
             // Each answer now tells its caller to come back elsewhere; only those that stay idle are closed on.
             self.door.close();
             let end = self.env.now() + self.bounds.leave();
@@ -350,7 +356,7 @@
 
     /// Where a door in the users' manner opens its sessions.
     pub fn host(&self) -> Rc<dyn Host> {
-        Rc::new(Talks { works: self.works.clone() })
+        Rc::new(SessionOpener { works: self.works.clone() })
     }
 
     /// Hands everything back, once the doors of the users' manner are closed.
--- a/spoke/src/talk/mod.rs
+++ b/spoke/src/talk/mod.rs
@@ -14,14 +14,14 @@
     talk::{Fail, Host, Seat},
 };
 
-use crate::work::{Works, bump};
+use crate::work::{WorkContext, bump};
 
 /// Where doors open sessions.
-pub struct Talks {
-    pub works: Rc<Works>,
+pub struct SessionOpener {
+    pub works: Rc<WorkContext>,
 }
 
-impl Host for Talks {
+impl Host for SessionOpener {
     fn seat(&self, name: &str) -> Result<Rc<dyn Seat>, Fail> {
         match self.works.decider.gate(name) {
             Ok(_) => {}
--- a/spoke/src/talk/read.rs
+++ b/spoke/src/talk/read.rs
@@ -12,9 +12,9 @@
     send::{SendError, SessionState},
 };
 use crate::{
-    decide::{Basis, Gate, Order, Target},
+    decide::{Basis, MatchedRoute, Order, Target},
     gauge::Key,
-    work::{Works, bump},
+    work::{WorkContext, bump},
 };
 
 /// How often one read is sent at most.
@@ -24,14 +24,14 @@
 
 /// What every send of one read shares.
 struct ReadTask {
-    gate: Gate,
+    gate: MatchedRoute,
     key: Key,
     statement: Repeatable,
     state: SessionState,
     due: Duration,
 }
 
-impl Works {
+impl WorkContext {
     /// A single read. It may be sent to a second server when the first one's answer is late: nothing is changed by it.
     pub(super) async fn read_talk(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>, statement: Repeatable) -> Told {
         bump(&self.tally.reads);
--- a/spoke/src/talk/seat.rs
+++ b/spoke/src/talk/seat.rs
@@ -8,7 +8,7 @@
 };
 
 use super::trans::Trans;
-use crate::work::Works;
+use crate::work::WorkContext;
 
 /// How many values and prepared names one session may have.
 const STATES: usize = 256;
@@ -33,13 +33,13 @@
 
 /// One caller's session.
 pub struct CallerSession {
-    works: Rc<Works>,
+    works: Rc<WorkContext>,
     session: Rc<RefCell<SessionData>>,
 }
 
 impl CallerSession {
     /// A session with no state.
-    pub fn new(works: &Rc<Works>, name: &str) -> Self {
+    pub fn new(works: &Rc<WorkContext>, name: &str) -> Self {
         let session = SessionData { name: name.into(), ..SessionData::default() };
         Self { works: works.clone(), session: Rc::new(RefCell::new(session)) }
     }
@@ -83,7 +83,7 @@
     told(Ok(String::new()), None)
 }
 
-impl Works {
+impl WorkContext {
     /// Answers one statement of a session.
     async fn hear(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>, said: Said) -> Told {
         let phase = session.borrow().phase;
--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -10,10 +10,10 @@
 
 use super::seat::SessionData;
 use crate::{
-    decide::Gate,
+    decide::MatchedRoute,
     gauge::Key,
     pool::Slot,
-    work::{Works, bump},
+    work::{WorkContext, bump},
 };
 
 /// What a connection has to wear for a statement.
@@ -62,8 +62,8 @@
     }
 }
 
-impl Works {
-    /// Sends a statement that changes nothing.
+impl WorkContext {
+    /// Attempts a statement that changes nothing.
     pub(super) async fn send_repeatable(
         &self,
         slot: &mut Slot,
@@ -76,7 +76,7 @@
         self.send_statement(slot, key, statement.said(), state, after, due).await
     }
 
-    /// Sends a statement that may take effect, and takes it away.
+    /// Attempts a statement that may take effect, and takes it away.
     pub(super) async fn send_once(
         &self,
         slot: &mut Slot,
@@ -109,7 +109,7 @@
         self.gauges.sent(&server);
         let prepared = state.prepared.as_ref().map(|(w, t)| (t.as_str(), *w));
         let plain = BTreeMap::new();
-        let values = if self.decider.tricks.no_wipe { &plain } else { &state.values };
+        let values = if self.decider.disabled.no_wipe { &plain } else { &state.values };
         let name = slot.apply_session(values, prepared, due).await.map_err(|_| {
             self.gauges.record(key, &server, Outcome::Error, self.env.now() - asked);
             SendError::NotRun(Kind::NoServer)
@@ -153,14 +153,14 @@
 
     /// How long a statement of a doorway may take, and how long it may wait for somebody to take it: half of that, so that
     /// an election is lived through here. What is given up on is told at once.
-    pub fn spans(&self, gate: &Gate) -> (Duration, Duration) {
+    pub fn spans(&self, gate: &MatchedRoute) -> (Duration, Duration) {
         let most = gate.most.unwrap_or_else(|| self.decider.limit().0);
         (most, most / 2)
     }
 
     /// The doorway of a statement outside a transaction, until when the statement may take and how long it may wait, once
     /// this node may take new work.
-    pub async fn entry(&self, name: &str) -> Result<(Gate, Key, Duration, Duration), Kind> {
+    pub async fn entry(&self, name: &str) -> Result<(MatchedRoute, Key, Duration, Duration), Kind> {
         let gate = self.decider.gate(name)?;
         let (most, patience) = self.spans(&gate);
         let start = self.env.now();
--- a/spoke/src/talk/trans.rs
+++ b/spoke/src/talk/trans.rs
@@ -14,22 +14,22 @@
     send::{OnceError, SendError, SessionState},
 };
 use crate::{
-    decide::{Basis, Gate, Order},
+    decide::{Basis, MatchedRoute, Order},
     gauge::Key,
     pool::Slot,
-    work::{Works, bump},
+    work::{WorkContext, bump},
 };
 
 /// A transaction that was opened at a server, on a connection of its own.
 pub struct Trans {
     slot: Slot,
     key: Key,
-    gate: Gate,
+    gate: MatchedRoute,
     wrote: bool,
     idle: Option<Job>,
 }
 
-impl Works {
+impl WorkContext {
     /// Rolls back at the server; a connection that doesn't show it did is closed.
     pub async fn undo(&self, mut t: Trans) {
         let due = self.env.now() + self.decider.bounds.call();
@@ -94,7 +94,7 @@
 
     /// When an answer inside a transaction is given up on. Nothing of it is kept before its commit, so its caller may
     /// make it again whole, and had better soon.
-    fn soon(&self, gate: &Gate, due: Duration) -> Duration {
+    fn soon(&self, gate: &MatchedRoute, due: Duration) -> Duration {
         gate.aim.map_or(due, |a| due.min(self.env.now() + a * 2))
     }
 
@@ -178,7 +178,7 @@
     async fn open_trans(
         &self,
         session: &Rc<RefCell<SessionData>>,
-        gate: &Gate,
+        gate: &MatchedRoute,
         key: &Key,
         begun: &Said,
         due: Duration,
--- a/spoke/src/talk/write.rs
+++ b/spoke/src/talk/write.rs
@@ -12,10 +12,10 @@
 use crate::{
     decide::Target,
     pool::Slot,
-    work::{Works, bump},
+    work::{WorkContext, bump},
 };
 
-impl Works {
+impl WorkContext {
     /// A single write. It is sent again only where it surely was not run; once its bytes may have left and no answer came,
     /// what became of it can't be told.
     pub(super) async fn write_talk(self: &Rc<Self>, session: &Rc<RefCell<SessionData>>, mut statement: Once) -> Told {
@@ -27,7 +27,7 @@
             Err(k) => return no(k),
         };
         let state = SessionState::of(&session.borrow(), statement.said());
-        let copy = self.decider.tricks.resend.then(|| statement.said().clone());
+        let copy = self.decider.disabled.resend.then(|| statement.said().clone());
         loop {
             let kind = match self.lead_slot(&gate.group, due).await {
                 Err(k) => k,
--- a/spoke/src/work/mod.rs
+++ b/spoke/src/work/mod.rs
@@ -21,14 +21,14 @@
 use pick::Outcome;
 
 use crate::{
-    decide::{Decider, Gate, Target},
+    decide::{Decider, MatchedRoute, Target},
     gauge::{Gauges, Key},
-    pool::{Dress, Slot},
+    pool::{Slot, StateOwner},
     run::Pools,
     view::{Event, Journal},
 };
 
-pub use sends::Sends;
+pub use sends::Attempts;
 pub use session::Caller;
 
 /// How often a statement that surely was not taken is sent again.
@@ -36,7 +36,7 @@
 
 /// Counts of how work ended.
 #[derive(Default)]
-pub struct Tally {
+pub struct WorkCounts {
     pub reads: Cell<u64>,
     pub writes: Cell<u64>,
     pub refused: Cell<u64>,
@@ -51,20 +51,20 @@
 }
 
 /// What every task that carries out work shares.
-pub struct Works {
+pub struct WorkContext {
     pub env: Env,
     pub decider: Decider,
     pub gauges: Rc<Gauges>,
     pub journal: Rc<Journal>,
     pub pools: Rc<Pools>,
-    pub tally: Tally,
+    pub tally: WorkCounts,
     pub ids: Cell<u64>,
-    pub sends: Sends,
+    pub sends: Attempts,
 }
 
 /// One statement outside a transaction, on its way.
 pub struct Task<'a> {
-    pub gate: &'a Gate,
+    pub gate: &'a MatchedRoute,
     pub key: &'a Key,
     pub word: &'a Word<'a>,
     pub body: &'a Bytes,
@@ -78,8 +78,8 @@
     Given,
 }
 
-impl Works {
-    /// Sends one statement; gives up waiting as soon as no answer could be used any more.
+impl WorkContext {
+    /// Attempts one statement; gives up waiting as soon as no answer could be used any more.
     async fn send(
         &self,
         slot: &mut Slot,
@@ -97,8 +97,14 @@
     }
 
     /// Makes a connection wear a session's state, and nobody else's.
-    async fn dress(&self, slot: &mut Slot, want: &Dress, state: &[(Verb, Bytes)], due: Duration) -> Result<(), Fault> {
-        if self.decider.tricks.no_wipe {
+    async fn dress(
+        &self,
+        slot: &mut Slot,
+        want: &StateOwner,
+        state: &[(Verb, Bytes)],
+        due: Duration,
+    ) -> Result<(), Fault> {
+        if self.decider.disabled.no_wipe {
             return Ok(());
         }
         slot.dress(want, state, due).await
--- a/spoke/src/work/read.rs
+++ b/spoke/src/work/read.rs
@@ -9,10 +9,10 @@
     http::Return,
 };
 
-use super::{Task, Works, bump, session::Store};
-use crate::{decide::Order, pool::Dress};
+use super::{Task, WorkContext, bump, session::Store};
+use crate::{decide::Order, pool::StateOwner};
 
-impl Works {
+impl WorkContext {
     /// A single read.
     pub async fn read(&self, store: &RefCell<Store>, task: &Task<'_>) -> Return {
         bump(&self.tally.reads);
@@ -76,7 +76,7 @@
             if matches!(word.verb, Verb::Set | Verb::Prepare) && out.code < 300 {
                 let count = dress.count + 1;
                 let id = store.borrow().id;
-                slot.wore(Dress { session: id, name: gate.name.clone(), count });
+                slot.wore(StateOwner { session: id, name: gate.name.clone(), count });
             }
             drop(slot);
             return self.hand_on(out, &target.server, token);
--- a/spoke/src/work/sends.rs
+++ b/spoke/src/work/sends.rs
@@ -11,7 +11,7 @@
 };
 use bytes::Bytes;
 
-use super::{Task, Works, session::Store};
+use super::{Task, WorkContext, session::Store};
 
 /// How many attempts are remembered.
 const MOST: usize = 4096;
@@ -25,12 +25,12 @@
 
 /// The attempts that callers named and that took effect here, or may have; the newest few thousand.
 #[derive(Default)]
-pub struct Sends {
+pub struct Attempts {
     map: RefCell<BTreeMap<String, (u64, State)>>,
     order: RefCell<VecDeque<String>>,
 }
 
-impl Sends {
+impl Attempts {
     /// Claims an attempt, whose statement is told by a sum; an answer if it is not to be carried out (again).
     pub fn claim(&self, send: &str, sum: u64) -> Option<Return> {
         let mut map = self.map.borrow_mut();
@@ -82,11 +82,11 @@
     h.finish()
 }
 
-impl Works {
+impl WorkContext {
     /// A single write of an attempt that its caller named: seen a second time at this node, it is answered as the first
     /// time and not carried out again.
     pub(super) async fn write_once(&self, store: &RefCell<Store>, task: &Task<'_>) -> Return {
-        if self.decider.tricks.no_sends {
+        if self.decider.disabled.no_sends {
             return self.write(store, task).await;
         }
         let send = task.word.send;
--- a/spoke/src/work/session.rs
+++ b/spoke/src/work/session.rs
@@ -14,10 +14,10 @@
 use bytes::Bytes;
 use futures::channel::oneshot;
 
-use super::{Task, Works, bump};
+use super::{Task, WorkContext, bump};
 use crate::{
-    decide::{Gate, Target},
-    pool::{Dress, Slot},
+    decide::{MatchedRoute, Target},
+    pool::{Slot, StateOwner},
 };
 
 /// How many session statements one session may have for one database.
@@ -61,13 +61,13 @@
 
 /// One caller's connection: its session.
 pub struct Caller {
-    works: Rc<Works>,
+    works: Rc<WorkContext>,
     store: Rc<RefCell<Store>>,
 }
 
 impl Caller {
     /// A session with no state.
-    pub fn new(works: &Rc<Works>) -> Self {
+    pub fn new(works: &Rc<WorkContext>) -> Self {
         works.ids.set(works.ids.get() + 1);
         bump(&works.tally.sessions);
         let store = Store { id: works.ids.get(), ..Store::default() };
@@ -107,14 +107,14 @@
     }
 }
 
-impl Works {
+impl WorkContext {
     /// Rolls back what a caller who left had open.
     fn part(self: &Rc<Self>, store: &Rc<RefCell<Store>>) {
         if !store.borrow().gone {
             return;
         }
         if let Some(t) = store.borrow_mut().trans.take() {
-            if self.decider.tricks.no_rollback {
+            if self.decider.disabled.no_rollback {
                 return;
             }
             let me = self.clone();
@@ -189,13 +189,13 @@
     }
 
     /// The session's state for a database, and the mark a connection wears for it.
-    pub fn state_of(&self, store: &RefCell<Store>, name: &str) -> (Dress, Vec<(Verb, Bytes)>) {
+    pub fn state_of(&self, store: &RefCell<Store>, name: &str) -> (StateOwner, Vec<(Verb, Bytes)>) {
         let s = store.borrow();
         let list = s.states.get(name).cloned().unwrap_or_default();
         let dress = if list.is_empty() {
-            Dress::default()
+            StateOwner::default()
         } else {
-            Dress { session: s.id, name: name.into(), count: list.len() }
+            StateOwner { session: s.id, name: name.into(), count: list.len() }
         };
         (dress, list)
     }
@@ -206,7 +206,7 @@
         if !store.borrow().room(&gate.name, task.body.len()) {
             return edge::refuse(Kind::Full, "the session has too many values and prepared names", Some(Kept::No));
         }
-        let any = Gate { promise: Promise::Any, ..gate.clone() };
+        let any = MatchedRoute { promise: Promise::Any, ..gate.clone() };
         let out = self.read_as(store, &Task { gate: &any, ..*task }).await;
         if out.code < 300 {
             self.keep_state(store, &gate.name, task.word.verb, task.body);
--- a/spoke/src/work/trans.rs
+++ b/spoke/src/work/trans.rs
@@ -12,13 +12,13 @@
 use bytes::Bytes;
 
 use super::{
-    Cut, Task, Works,
+    Cut, Task, WorkContext,
     session::{Ended, Store, Trans},
     write::line,
 };
-use crate::pool::Dress;
+use crate::pool::StateOwner;
 
-impl Works {
+impl WorkContext {
     /// Opens a transaction on a connection of its own, at the leader.
     pub async fn begin(self: &Rc<Self>, store: &Rc<RefCell<Store>>, task: &Task<'_>) -> Return {
         let Task { gate, key, word, body, due } = *task;
@@ -140,7 +140,7 @@
                 (s.id, s.states.get(&t.name).map_or(0, Vec::len))
             };
             self.keep_state(store, &t.name, word.verb, body);
-            t.slot.wore(Dress { session: id, name: t.name.clone(), count: count + 1 });
+            t.slot.wore(StateOwner { session: id, name: t.name.clone(), count: count + 1 });
         }
         let ret = self.hand_on(out, &t.target.server, store.borrow().token);
         put(t, ret)
--- a/spoke/src/work/write.rs
+++ b/spoke/src/work/write.rs
@@ -11,13 +11,13 @@
     words::Position,
 };
 
-use super::{Cut, Task, Works, bump, session::Store};
+use super::{Cut, Task, WorkContext, bump, session::Store};
 use crate::{
     decide::{Order, Target},
     pool::Slot,
 };
 
-impl Works {
+impl WorkContext {
     /// A connection to the leader that wears the session's state, under a grant that stands.
     pub(super) async fn lead(&self, store: &RefCell<Store>, task: &Task<'_>) -> Result<(Slot, Target), Kind> {
         let (dress, state) = self.state_of(store, &task.gate.name);
@@ -72,7 +72,7 @@
                 Err(cut) => {
                     self.gauges.record(key, &target.server, pick::Outcome::Error, self.env.now() - asked);
                     drop(slot);
-                    if matches!(cut, Cut::Fault(Fault::Unsent)) || self.decider.tricks.resend {
+                    if matches!(cut, Cut::Fault(Fault::Unsent)) || self.decider.disabled.resend {
                         continue;
                     }
                     // Its bytes may have left: it is never sent again.
--- a/spoke/tests/attempts.rs
+++ b/spoke/tests/attempts.rs
@@ -1,18 +1,18 @@
 //! Which attempts a node remembers.
 
 use base::http::Return;
-use spoke::Sends;
+use spoke::Attempts;
 
 /// More attempts than a node remembers.
 const MANY: usize = 6000;
 
-fn make(sends: &Sends, send: &str) -> bool {
+fn make(sends: &Attempts, send: &str) -> bool {
     sends.claim(send, 1).is_none()
 }
 
 #[test]
 fn an_attempt_under_way_is_not_forgotten_however_many_come_after_it() {
-    let sends = Sends::default();
+    let sends = Attempts::default();
     assert!(make(&sends, "first"));
     for i in 0..MANY {
         let name = format!("s{i}");
@@ -26,7 +26,7 @@
 
 #[test]
 fn ended_attempts_are_forgotten_oldest_first() {
-    let sends = Sends::default();
+    let sends = Attempts::default();
     for i in 0..MANY {
         let name = format!("s{i}");
         assert!(make(&sends, &name));
@@ -38,7 +38,7 @@
 
 #[test]
 fn an_attempt_of_which_nothing_was_kept_may_be_made_again() {
-    let sends = Sends::default();
+    let sends = Attempts::default();
     assert!(make(&sends, "a"));
     sends.end("a", &Return::new(503, "{}").with(base::edge::caller::KEPT, "no"));
     assert!(make(&sends, "a"));
