--- a/kit/tests/orders.rs
+++ b/kit/tests/orders.rs
@@ -167,6 +167,36 @@
     })
 }
 
+fn median(mut spans: Vec<Duration>) -> Duration {
+    spans.sort();
+    spans[spans.len() / 2]
+}
+
+/// In calm the wait for a quorum costs a round trip, no more: new orders, the same again, and ones that lost.
+#[test]
+fn orders_are_answered_within_a_tenth_of_a_second_in_calm() {
+    let hall = Hall::new(5, small());
+    hall.settle();
+    let (env, nodes, plans) = (hall.desk(), hall.control(), hall.plans(Duration::ZERO));
+    let spans = at_desk(&hall, secs(120), async move {
+        let mut spans = [Vec::new(), Vec::new(), Vec::new()];
+        for n in 0..60 {
+            let node = &nodes[n as usize % nodes.len()..][..1];
+            let order = Order::patch(&plans, 3 + n, 4 + n, &format!("m{n}"));
+            let rival = Order::patch(&plans, 3 + n, 4 + n, &format!("r{n}"));
+            for (list, (order, code)) in spans.iter_mut().zip([(&order, 200), (&order, 200), (&rival, 412)]) {
+                let (got, span) = insist(&env, node, order, 1).await;
+                assert_eq!(got, code);
+                list.push(span);
+            }
+        }
+        spans
+    });
+    let medians = spans.map(median);
+    println!("medians: new orders {:?}, the same again {:?}, losers {:?}", medians[0], medians[1], medians[2]);
+    assert!(medians.iter().all(|m| *m <= ms(100)), "{medians:?}");
+}
+
 #[test]
 fn an_order_too_old_to_be_remembered_is_not_refused() {
     let (codes, oldest, newer) = first_order_after_many(small());
