--- a/base/src/settings.rs
+++ b/base/src/settings.rs
@@ -28,6 +28,8 @@
         pub most_inbox: u64 = 256,
         /// Whether a node serves callers on while its own area is emptied of servers.
         pub keep_on: bool = false,
+        /// Whether the whole system may be starting for the first time, with empty disks.
+        pub first_start: bool = true,
         /// How many control nodes may be lost at once; one more than twice as many agree.
         pub losses: u64 = 1,
     }
@@ -100,9 +102,13 @@
     pub most_body: usize,
     pub most_inbox: usize,
     pub keep_on: bool,
+    pub first_start: bool,
     pub losses: usize,
 }
 
+/// How many control nodes a settings file names at most; fewer where fewer serve just then.
+const MOST_SEEDS: usize = 3;
+
 /// Reads a settings file's text.
 pub fn read(text: &[u8]) -> Result<Settings, String> {
     crate::strict::read(text).map_err(|e| e.to_string())
@@ -154,8 +160,8 @@
                 bad.push(format!("{field}: 1 to 64 characters belong here"));
             }
         }
-        if seeds.len() != 3 {
-            bad.push(format!("seeds: {} addresses, where three belong", seeds.len()));
+        if !(1..=MOST_SEEDS).contains(&seeds.len()) {
+            bad.push(format!("seeds: {} addresses, where 1 to {MOST_SEEDS} belong", seeds.len()));
         }
         if !["error", "warn", "info", "debug"].contains(&self.log.as_str()) {
             bad.push(format!("log: {:?} is not error, warn, info or debug", self.log));
@@ -183,6 +189,7 @@
             most_body: self.most_body as usize,
             most_inbox: self.most_inbox as usize,
             keep_on: self.keep_on,
+            first_start: self.first_start,
             losses: self.losses as usize,
         })
     }
