Read again: one piece for heads and zone counts, news built without copying the whole state

Behaviour unchanged. The newest place of a group's leader was noted by two copies of one loop (Gauges::note_head serves both). Members in a zone were looked up in four places by the same expression (ZoneCounts).

--- a/hub/src/consensus/membership.rs
+++ b/hub/src/consensus/membership.rs
@@ -56,8 +56,8 @@
         };
         let mut all: Vec<Member> =
             self.peers.iter().filter(|(n, p)| level(n, p)).map(|(n, p)| member_of(n, p)).collect();
-        let in_zone = zone_counts(&image.members);
-        all.sort_by_key(|m| in_zone.get(m.zone.as_str()).copied().unwrap_or(0));
+        let in_zone = ZoneCounts::new(&image.members);
+        all.sort_by_key(|m| in_zone.of(&m.zone));
         all
     }
 
@@ -73,10 +73,10 @@
     fn replacement(&self, image: &Image, learners: &[Member], now: Duration) -> Option<MembershipChange> {
         let old = image.members.iter().find(|m| self.is_leaving(m) || self.is_lost(m, now))?;
         let rest: Vec<Member> = image.members.iter().filter(|m| m != &old).cloned().collect();
-        let in_zone = zone_counts(&rest);
-        let new = learners.iter().min_by_key(|l| in_zone.get(l.zone.as_str()).copied().unwrap_or(0))?;
+        let in_zone = ZoneCounts::new(&rest);
+        let new = learners.iter().min_by_key(|l| in_zone.of(&l.zone))?;
         let reason = format!("{} takes the place of {}", new.name, old.name);
-        Some(MembershipChange { members: with(rest, [new]), reason })
+        Some(MembershipChange { members: with(rest, new), reason })
     }
 
     /// Where there are more members than there are to be, one that is lost is dropped.
@@ -96,25 +96,25 @@
             return None;
         }
         let first = learners.first()?;
-        let mut in_zone = zone_counts(&image.members);
-        *in_zone.entry(first.zone.as_str()).or_default() += 1;
-        let others = learners.iter().skip(1);
-        let second = others.min_by_key(|l| in_zone.get(l.zone.as_str()).copied().unwrap_or(0))?;
+        let mut members = with(image.members.clone(), first);
+        let in_zone = ZoneCounts::new(&members);
+        let second = learners.iter().skip(1).min_by_key(|l| in_zone.of(&l.zone))?;
         let reason = format!("{} and {} are members", first.name, second.name);
-        Some(MembershipChange { members: with(image.members.clone(), [first, second]), reason })
+        members.push(second.clone());
+        Some(MembershipChange { members, reason })
     }
 
     /// No zone is to hold so many members that its loss leaves no majority.
     fn balance(&self, image: &Image, learners: &[Member]) -> Option<MembershipChange> {
         let most = (image.members.len() - 1) / 2;
-        let in_zone = zone_counts(&image.members);
-        let crowded = |m: &&Member| !m.zone.is_empty() && in_zone[m.zone.as_str()] > most;
+        let in_zone = ZoneCounts::new(&image.members);
+        let crowded = |m: &&Member| !m.zone.is_empty() && in_zone.of(&m.zone) > most;
         let old = image.members.iter().find(|m| crowded(m) && m.name != self.identity.name)?;
-        let fits = |l: &&Member| l.zone != old.zone && in_zone.get(l.zone.as_str()).copied().unwrap_or(0) < most;
+        let fits = |l: &&Member| l.zone != old.zone && in_zone.of(&l.zone) < most;
         let new = learners.iter().find(fits)?;
         let rest = image.members.iter().filter(|m| m != &old).cloned().collect();
         let reason = format!("{} takes the place of {}, whose zone holds too many members", new.name, old.name);
-        Some(MembershipChange { members: with(rest, [new]), reason })
+        Some(MembershipChange { members: with(rest, new), reason })
     }
 
     fn is_leaving(&self, member: &Member) -> bool {
@@ -136,15 +136,24 @@
     Member { name: name.into(), incarnation: peer.incarnation, address: peer.address.clone(), zone: peer.zone.clone() }
 }
 
-fn with<const N: usize>(mut members: Vec<Member>, more: [&Member; N]) -> Vec<Member> {
-    members.extend(more.into_iter().cloned());
+fn with(mut members: Vec<Member>, new: &Member) -> Vec<Member> {
+    members.push(new.clone());
     members
 }
 
-fn zone_counts(members: &[Member]) -> BTreeMap<&str, usize> {
-    let mut counts = BTreeMap::new();
-    for member in members {
-        *counts.entry(member.zone.as_str()).or_default() += 1;
+/// How many members each zone holds.
+struct ZoneCounts<'a>(BTreeMap<&'a str, usize>);
+
+impl<'a> ZoneCounts<'a> {
+    fn new(members: &'a [Member]) -> Self {
+        let mut counts = BTreeMap::new();
+        for member in members {
+            *counts.entry(member.zone.as_str()).or_default() += 1;
+        }
+        Self(counts)
+    }
+
+    fn of(&self, zone: &str) -> usize {
+        self.0.get(zone).copied().unwrap_or(0)
     }
-    counts
 }
--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -27,7 +27,7 @@
     settings::Place,
     talk::ServerProtocol,
 };
-use wire::{Beat, BeatReturn, Image, Mark, News, relay::Relay};
+use wire::{Beat, BeatReturn, Image, Mark, Snapshot, relay::Relay};
 
 use crate::{
     consensus::Consensus,
@@ -226,14 +226,10 @@
         }
         self.unpublished.set(false);
         self.count.set(self.count.get() + 1);
-        let news = News {
-            mark: Some(self.mark()),
-            image: Some((*image).clone()),
-            servers: self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect(),
-            nodes: self.told_nodes_now(),
-        };
-        self.told_nodes.borrow_mut().clone_from(&news.nodes);
-        self.relay.publish(news);
+        let servers = self.servers.borrow().iter().map(|(n, t)| t.news(n)).collect();
+        let nodes = self.told_nodes_now();
+        self.told_nodes.borrow_mut().clone_from(&nodes);
+        self.relay.publish(Snapshot::new(self.mark(), &image, servers, nodes));
         self.bell.ring();
     }
 
--- a/hub/src/operator/evacuation.rs
+++ b/hub/src/operator/evacuation.rs
@@ -36,7 +36,7 @@
         let zones = self.zones();
         let disabled = self.disabled;
         let zone = zone.to_string();
-        self.change(move |old| evacuate(disabled, zones.clone(), old, &zone, empty)).await
+        self.change(move |old| evacuate(disabled, zones, old, &zone, empty)).await
     }
 }
 
--- a/kit/tests/relay_news.rs
+++ b/kit/tests/relay_news.rs
@@ -163,14 +163,14 @@
     let sim = Sim::new(1);
     let (root, _) = relay(&sim, "root", addr(1), Vec::new());
     sim.pass(ms(100));
-    root.publish(news(1));
+    root.publish(snapshot(1));
     let level = child(&sim, "level", true, mark(1));
     let empty = child(&sim, "empty", true, Mark::default());
     let newer = child(&sim, "newer", true, mark(9));
     let plain = child(&sim, "plain", false, mark(1));
     assert!(level.borrow().is_empty() && newer.borrow().is_empty() && plain.borrow().is_empty());
     assert_eq!(*empty.borrow(), [Body::News(news(1))]);
-    root.publish(news(2));
+    root.publish(snapshot(2));
     sim.pass(ms(100));
     assert_eq!(*level.borrow(), [Body::NewsDelta(delta(1, 2))]);
     assert_eq!(*empty.borrow(), [Body::News(news(1)), Body::NewsDelta(delta(1, 2))]);
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -192,20 +192,25 @@
         }
         // A leader whose log lost something tells of no head.
         if lead.is_some_and(|l| l.line == place.line) && (self.counts(server) || self.grow) {
-            let mut heads = self.heads.borrow_mut();
-            let list = heads.entry(group).or_default();
-            // One reading for each small step of time is enough to find a fresh one.
-            let step = self.bounds.borrow().sample() / 4;
-            if list.back().is_none_or(|b| asked >= b.0 + step) {
-                list.push_back((asked, place));
-                if list.len() > HEADS {
-                    list.pop_front();
-                }
-            }
+            self.note_head(group, asked, place);
         }
         self.moved.ring();
     }
 
+    /// A group's leader showed this place when asked at `asked`.
+    fn note_head(&self, group: String, asked: Duration, place: Position) {
+        let mut heads = self.heads.borrow_mut();
+        let list = heads.entry(group).or_default();
+        // One reading for each small step of time is enough to find a fresh one.
+        let step = self.bounds.borrow().sample() / 4;
+        if list.back().is_none_or(|b| asked >= b.0 + step) {
+            list.push_back((asked, place));
+            if list.len() > HEADS {
+                list.pop_front();
+            }
+        }
+    }
+
     /// Something was sent to a server in the users' manner.
     pub fn sent(&self, server: &str) {
         let now = self.env.now();
@@ -250,15 +255,7 @@
                 if place.line < head.line { head.index.saturating_sub(place.index) } else { lag(head, place, from) };
         }
         if leads {
-            let mut heads = self.heads.borrow_mut();
-            let list = heads.entry(group).or_default();
-            let step = self.bounds.borrow().sample() / 4;
-            if list.back().is_none_or(|b| asked >= b.0 + step) {
-                list.push_back((asked, place));
-                if list.len() > HEADS {
-                    list.pop_front();
-                }
-            }
+            self.note_head(group, asked, place);
         }
         self.moved.ring();
     }
--- a/wire/src/news.rs
+++ b/wire/src/news.rs
@@ -92,12 +92,16 @@
 }
 
 impl Snapshot {
-    /// From news that is whole; `None` where it lacks its mark or its image.
-    pub fn from_news(news: News) -> Option<Self> {
-        let News { mark, image, mut servers, mut nodes } = news;
+    /// What nodes need of the present state.
+    pub fn new(mark: Mark, image: &Image, mut servers: Vec<Server>, mut nodes: Vec<Node>) -> Self {
         sort(&mut servers);
         sort(&mut nodes);
-        Some(Self { mark: mark?, image: Rc::new(for_nodes(&image?)), servers, nodes })
+        Self { mark, image: Rc::new(for_nodes(image)), servers, nodes }
+    }
+
+    /// From news that is whole; `None` where it lacks its mark or its image.
+    pub fn from_news(news: News) -> Option<Self> {
+        Some(Self::new(news.mark?, &news.image?, news.servers, news.nodes))
     }
 
     /// As it is sent whole.
--- a/wire/src/relay/news.rs
+++ b/wire/src/relay/news.rs
@@ -44,8 +44,7 @@
     }
 
     /// Takes this node's own news and hands it down.
-    pub fn publish(&self, news: News) {
-        let Some(mut new) = Snapshot::from_news(news) else { return };
+    pub fn publish(&self, mut new: Snapshot) {
         if let Some(old) = self.latest() {
             new.keep_unchanged(&old);
         }
