Sight: failed searches for a parent, servers without a share, late tasks are logged and counted

Added: a line for a search that brings no parent (how many addresses were tried and answered), ever more seldom; a line when a node comes to have no share of some servers; a line when tasks run late by half a pulse; the same as metrics on both programs. No decision changes.

--- a/base/src/lib.rs
+++ b/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod edge;
 pub mod error;
 pub mod http;
+pub mod loop_lag;
 pub mod metrics;
 pub mod permits;
 pub mod seam;
--- a/hub/src/door.rs
+++ b/hub/src/door.rs
@@ -6,6 +6,7 @@
     Kind,
     edge::refuse,
     http::{Ask, Return, Session},
+    loop_lag::LoopLag,
     metrics,
     seam::Local,
 };
@@ -17,23 +18,24 @@
 pub struct Desk {
     pub relay: Rc<Relay>,
     pub consensus: Rc<Consensus>,
+    pub lag: Rc<LoopLag>,
 }
 
 impl Session for Desk {
     fn call(&self, ask: Ask) -> Local<Return> {
-        let (relay, consensus) = (self.relay.clone(), self.consensus.clone());
+        let (relay, consensus, lag) = (self.relay.clone(), self.consensus.clone(), self.lag.clone());
         Box::pin(async move {
             match ask.parts()[..] {
                 ["status"] => status(&relay, &consensus),
                 ["db", ..] => refuse(Kind::NoPath, "callers are served by spokes", None),
-                ["metrics"] => metrics(&relay, &consensus),
+                ["metrics"] => metrics(&relay, &consensus, &lag),
                 _ => relay.pass(ask).await,
             }
         })
     }
 }
 
-fn metrics(relay: &Relay, consensus: &Consensus) -> Return {
+fn metrics(relay: &Relay, consensus: &Consensus, lag: &LoopLag) -> Return {
     let empty = consensus.empty();
     let sequence = consensus.image().map_or(0, |i| i.sequence);
     metrics::page(&[
@@ -44,6 +46,14 @@
         ("hub_children", "gauge", "nodes whose parent it is", relay.children().len() as u64),
         ("corrupt_frames_total", "counter", "links closed on a corrupt frame", relay.corrupt.get()),
         ("relayed_frames_total", "counter", "frames handed on for others", relay.handed.get()),
+        (
+            "parent_searches_failed_total",
+            "counter",
+            "searches for a parent without one",
+            relay.search_counts.failed.get(),
+        ),
+        ("loop_lag_ms", "gauge", "how late tasks ran when last measured", lag.newest().as_millis() as u64),
+        ("loop_lag_worst_ms", "gauge", "how late tasks ran at worst", lag.worst().as_millis() as u64),
     ])
 }
 
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -4,6 +4,7 @@
 
 use base::{
     http::{self, Door, Session},
+    loop_lag::LoopLag,
     seam::{Env, Part},
     settings::Place,
     talk::ServerProtocol,
@@ -206,10 +207,15 @@
     let d = leadership.clone();
     tree.child("leadership", move || d.clone().run());
     let (e, d) = (env.clone(), door.clone());
+    let lag = LoopLag::new(env, place.bounds.pulse());
+    let l = lag.clone();
+    tree.child("loop lag", move || l.clone().watch());
     let (r, a) = (relay.clone(), consensus.clone());
     tree.child("door", move || {
-        let (r, a) = (r.clone(), a.clone());
-        let make = Rc::new(move || Rc::new(Desk { relay: r.clone(), consensus: a.clone() }) as Rc<dyn Session>);
+        let (r, a, l) = (r.clone(), a.clone(), lag.clone());
+        let make = Rc::new(move || {
+            Rc::new(Desk { relay: r.clone(), consensus: a.clone(), lag: l.clone() }) as Rc<dyn Session>
+        });
         http::serve(e.clone(), sock.clone(), d.clone(), make)
     });
     env.log(Part::Main, format!("hub {} in area {} serves {}", who.name, who.area, place.http));
--- a/spoke/src/door/show.rs
+++ b/spoke/src/door/show.rs
@@ -1,6 +1,6 @@
 use std::{rc::Rc, time::Duration};
 
-use base::{http::Return, metrics, strict};
+use base::{http::Return, loop_lag::LoopLag, metrics, strict};
 use nanoserde::SerJson;
 use wire::relay::Relay;
 
@@ -116,6 +116,7 @@
 pub struct StatusPages {
     pub works: Rc<WorkContext>,
     pub relay: Rc<Relay>,
+    pub lag: Rc<LoopLag>,
 }
 
 fn json(out: &impl SerJson) -> Return {
@@ -224,6 +225,20 @@
                 news.mismatches.get(),
             ),
             ("news_requests_total", "counter", "requests to the parent for the whole news", news.requests.get()),
+            (
+                "parent_searches_failed_total",
+                "counter",
+                "searches for a parent without one",
+                self.relay.search_counts.failed.get(),
+            ),
+            (
+                "servers_without_share",
+                "gauge",
+                "servers that this node may open no connection to",
+                self.works.pools.without_share() as u64,
+            ),
+            ("loop_lag_ms", "gauge", "how late tasks ran when last measured", ms(self.lag.newest())),
+            ("loop_lag_worst_ms", "gauge", "how late tasks ran at worst", ms(self.lag.worst())),
         ]);
         let mut text = String::from_utf8_lossy(&out.body).into_owned();
         for (what, help) in [
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -11,6 +11,7 @@
 use base::{
     bell::Bell,
     http::{self, Door, Session},
+    loop_lag::LoopLag,
     seam::{Env, Part},
     settings::{Place, PolicySettings},
     talk::{Host, ServerProtocol},
@@ -74,6 +75,8 @@
     manner: Option<Rc<dyn ServerProtocol>>,
     map: RefCell<BTreeMap<String, Rc<Pool>>>,
     disabled: DisabledGuards,
+    /// How many servers this node had no share of when last looked at.
+    noted_without_share: Cell<usize>,
     /// Rung when a pool came or went.
     pub bell: Bell,
 }
@@ -86,7 +89,16 @@
         disabled: DisabledGuards,
         manner: Option<Rc<dyn ServerProtocol>>,
     ) -> Rc<Self> {
-        Rc::new(Self { env: env.clone(), most, dial, manner, disabled, map: RefCell::default(), bell: Bell::default() })
+        Rc::new(Self {
+            env: env.clone(),
+            most,
+            dial,
+            manner,
+            disabled,
+            noted_without_share: Cell::default(),
+            map: RefCell::default(),
+            bell: Bell::default(),
+        })
     }
 
     /// The pool of a server.
@@ -124,6 +136,20 @@
         }
     }
 
+    /// How many servers this node has no share of.
+    pub fn without_share(&self) -> usize {
+        self.map.borrow().values().filter(|pool| pool.limit() == 0).count()
+    }
+
+    /// Logs when this node comes to have no share of some servers, and when it has one of each again.
+    fn note_shares(&self) {
+        let (without, all) = (self.without_share(), self.map.borrow().len());
+        if (without > 0) != (self.noted_without_share.get() > 0) {
+            self.env.log(Part::Pool, format!("no share of {without} of {all} servers"));
+        }
+        self.noted_without_share.set(without);
+    }
+
     fn settle(&self, journal: &Journal) {
         let now = self.env.now();
         let mut moved = false;
@@ -162,6 +188,7 @@
                 pool.set_limit(limit);
             }
         }
+        self.note_shares();
         if moved {
             self.bell.ring();
         }
@@ -309,7 +336,10 @@
     tree.child("samples", move || g.clone().samples(p.clone()));
     let g = gauges.clone();
     tree.child("evaluations", move || g.clone().evaluations());
-    let show = Rc::new(StatusPages { works: works.clone(), relay: relay.clone() });
+    let lag = LoopLag::new(env, bounds.pulse());
+    let l = lag.clone();
+    tree.child("loop lag", move || l.clone().watch());
+    let show = Rc::new(StatusPages { works: works.clone(), relay: relay.clone(), lag });
     let (e, d, w, r) = (env.clone(), door.clone(), works.clone(), relay.clone());
     tree.child("door", move || {
         let (w, r, s) = (w.clone(), r.clone(), show.clone());
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -31,8 +31,14 @@
                 None => self.find().await,
             };
             match found {
-                Some(found) => next = self.stay(found).await,
-                None => self.env.sleep(self.bounds().pulse() / 2).await,
+                Some(found) => {
+                    self.search_counts.end_found();
+                    next = self.stay(found).await;
+                }
+                None => {
+                    self.search_counts.end_failed().iter().for_each(|line| self.log(line));
+                    self.env.sleep(self.bounds().pulse() / 2).await;
+                }
             }
             // A better parent takes the place of the old one; without one, a beat goes out as soon as there is any.
             if next.is_none() && self.parent.borrow_mut().take().is_some() {
@@ -59,7 +65,9 @@
 
     /// Waits for a fed candidate; the best of those that turn up within a moment of the first.
     async fn find(&self) -> Option<Found> {
-        let mut looks: FuturesUnordered<_> = self.places().into_iter().map(|a| self.look(a)).collect();
+        let places = self.places();
+        self.search_counts.begin(places.len());
+        let mut looks: FuturesUnordered<_> = places.into_iter().map(|a| self.look(a)).collect();
         let mut good: Vec<Found> = Vec::new();
         let last = self.env.sleep(self.bounds().call() * 2).fuse();
         pin_mut!(last);
@@ -97,8 +105,13 @@
         let (mut inn, out) = link::open(&self.env, io);
         out.send(Body::Hello(self.hello()));
         let Ok(Ok(Body::Hello(hello))) = self.env.within(span, inn.next()).await else { return None };
+        let mut answered = false;
         loop {
             let Ok(Body::Root(root)) = inn.next().await else { return None };
+            if !answered {
+                self.search_counts.note_answer();
+                answered = true;
+            }
             if root.fed && !root.path.contains(&self.who.name) {
                 return Some(Found { hello, root, inn, out });
             }
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod join;
 mod news;
+mod search;
 mod serve;
 
 use ask::Arrivals;
@@ -27,6 +28,7 @@
 use crate::{Ask, AskReturn, Beat, BeatReturn, Body, Hello, NewsDelta, Out, Root, Snapshot};
 
 pub use news::NewsCounts;
+pub use search::SearchCounts;
 
 /// How many children a node takes before it calls itself full.
 const FULL: usize = 4;
@@ -101,6 +103,7 @@
     /// When the parent was last asked for the whole news.
     news_requested: Cell<Option<Duration>>,
     pub news_counts: NewsCounts,
+    pub search_counts: SearchCounts,
     asks: RefCell<BTreeMap<u64, oneshot::Sender<AskReturn>>>,
     /// At the leading hub: when beats came that were returned.
     arrivals: RefCell<BTreeMap<String, Arrivals>>,
@@ -136,6 +139,7 @@
             newest_delta: RefCell::default(),
             news_requested: Cell::default(),
             news_counts: NewsCounts::default(),
+            search_counts: SearchCounts::default(),
             asks: RefCell::default(),
             arrivals: RefCell::default(),
             guards: Guards::default(),
