--- a/hub/tests/leases.rs
+++ b/hub/tests/leases.rs
@@ -55,3 +55,42 @@
     assert!(!next.primary_free("g1", NOW + SPAN));
     assert!(next.primary_free("g1", NOW + SPAN + Duration::from_millis(2)));
 }
+
+const NODES: usize = 12;
+const CAP: u64 = 9;
+const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// Twelve nodes that all want a connection, over a minute: the longest time that any of them had none, and the most
+/// connections that were out at once.
+fn longest_without_a_share(soft: bool) -> (Duration, u64) {
+    let names: Vec<String> = (0..NODES).map(|i| format!("n{i:02}")).collect();
+    let mut table = LeaseTable::new(Duration::ZERO);
+    let mut held = [0; NODES];
+    let mut since = [NOW; NODES];
+    let (mut longest, mut most) = (Duration::ZERO, 0);
+    for turn in 1..=240 {
+        let now = NOW + HEARTBEAT * turn;
+        for (i, name) in names.iter().enumerate() {
+            let told = Held { server: "s1".into(), count: held[i], want: 1 };
+            let nonce = u64::from(turn);
+            let beat = Beat { name: name.clone(), boot: 1, heard: nonce, shares: vec![told], ..Beat::default() };
+            table.told(&beat, now);
+            let to = Holder { node: name, boot: 1, nonce };
+            held[i] = table.share("s1", to, CAP, now, now + SPAN, soft);
+            if held[i] > 0 {
+                since[i] = now;
+            }
+            longest = longest.max(now - since[i]);
+        }
+        most = most.max(table.out(now).iter().map(|(_, _, count)| count).sum());
+    }
+    (longest, most)
+}
+
+/// With more nodes than connections, which nodes go without must not follow from their names.
+#[test]
+fn with_more_nodes_than_connections_every_node_gets_its_turn() {
+    let (longest, most) = longest_without_a_share(false);
+    assert!(most <= CAP, "{most} of {CAP} connections were out");
+    assert!(longest <= SPAN * 4, "a node had no connection for {longest:?}");
+}
