A parent is looked for among all control nodes that a control node knows of

After a loss of power nobody holds news; where there are more control nodes than the three that settings name, one of the others may be elected, and then nobody finds it: its own peers know its address from the image on their disks and from their consensus links, but did not look there. Changed: control nodes also look at the members of the image, and at those that they are linked with.

--- a/hub/src/consensus/links.rs
+++ b/hub/src/consensus/links.rs
@@ -55,8 +55,9 @@
         });
     }
 
-    /// Whom this node dials. An address with a link stays, so that no task ends in the midst of it.
-    fn addresses(&self) -> BTreeSet<SocketAddr> {
+    /// The other control nodes that this node knows of. An address with a link stays, so that no task ends in the midst
+    /// of it.
+    pub fn addresses(&self) -> BTreeSet<SocketAddr> {
         let mut all: BTreeSet<SocketAddr> = self.identity.seeds.iter().copied().collect();
         all.extend(self.guests.borrow().keys());
         all.extend(self.connected.borrow().iter());
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -1,6 +1,6 @@
 //! Puts a hub together and runs it under its supervisor.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use base::{
     http::{self, Door, Session},
@@ -130,6 +130,10 @@
         }
     }
 
+    fn control_nodes(&self) -> Vec<SocketAddr> {
+        self.consensus.addresses().into_iter().collect()
+    }
+
     fn hello(&self, hello: &mut Hello) {
         self.consensus.hello(hello);
     }
--- a/kit/tests/recovery.rs
+++ b/kit/tests/recovery.rs
@@ -72,3 +72,9 @@
         "at h0 h01 h1 h11 h2 h21\n4 kill kill kill kill kill kill\n6 start start start start start start\n22 . . . . . .",
     );
 }
+
+/// The named ones are down, and what is left of the members is enough.
+#[test]
+fn service_returns_while_two_of_the_named_control_nodes_stay_down() {
+    recovers("at h0 h1 machines\n4 . . dark\n4.5 dark dark .\n6 . . start\n6 dark dark .\n22 . . .");
+}
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -47,8 +47,14 @@
         }
     }
 
+    /// The addresses at which a parent is looked for: the control nodes that the settings name or that this node knows
+    /// of otherwise, and a few fellow nodes. Whoever leads may be none of those that the settings name.
     fn places(&self) -> Vec<SocketAddr> {
-        let mut list: Vec<SocketAddr> = self.who.seeds.iter().copied().filter(|a| *a != self.who.peer).collect();
+        let mut list = self.who.seeds.clone();
+        list.extend(self.head().control_nodes());
+        list.sort();
+        list.dedup();
+        list.retain(|address| *address != self.who.peer);
         if let Some(news) = self.latest() {
             let mut fellows: Vec<_> = news
                 .nodes
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -53,6 +53,10 @@
     fn other(&self, from: &Hello, body: Body, out: &Out);
     /// Another process opened a link.
     fn met(&self, _from: &Hello) {}
+    /// Where this node knows of control nodes beside those that its settings name.
+    fn control_nodes(&self) -> Vec<SocketAddr> {
+        Vec::new()
+    }
     /// Fills in what only a hub says of itself.
     fn hello(&self, _hello: &mut Hello) {}
 }
