A statement that waited meets the routes in force after its wait

Cause: in the users' manner a statement or a transaction's first statement looked its route up, then waited (half its time at most) until the leading hub's word was the newest again, and went on with the route from before. Ruled out: the product's HTTP manner (looks up after it was admitted). Changed: one function waits and then looks up (admitted_route), for both.

--- a/spoke/src/talk/send.rs
+++ b/spoke/src/talk/send.rs
@@ -158,17 +158,26 @@
         (most, most / 2)
     }
 
-    /// The doorway of a statement outside a transaction, until when the statement may take and how long it may wait, once
-    /// this node may take new work.
+    /// The doorway of a statement outside a transaction, until when it may take and until when it may wait.
     pub async fn entry(&self, name: &str) -> Result<(MatchedRoute, Key, Duration, Duration), Kind> {
-        let gate = self.decider.gate(name)?;
-        let (most, patience) = self.spans(&gate);
         let start = self.env.now();
-        if let Err(k) = self.admitted(start + patience).await {
+        let gate = self.admitted_route(name).await?;
+        let (most, patience) = self.spans(&gate);
+        Ok((gate, self.gauges.key(name, ""), start + most, start + patience))
+    }
+
+    /// The doorway that binds a new statement or transaction: the one in force once this node may take new work. What was
+    /// in force while it waited for that may have been replaced since.
+    pub async fn admitted_route(&self, name: &str) -> Result<MatchedRoute, Kind> {
+        let patience = match self.decider.gate(name) {
+            Ok(gate) => self.spans(&gate).1,
+            Err(_) => self.decider.bounds.call(),
+        };
+        if let Err(kind) = self.admitted(self.env.now() + patience).await {
             bump(&self.tally.refused);
-            return Err(k);
+            return Err(kind);
         }
-        Ok((gate, self.gauges.key(name, ""), start + most, start + patience))
+        self.decider.gate(name)
     }
 
     /// Waits until this node may take new work, up to a time.
--- a/spoke/src/talk/trans.rs
+++ b/spoke/src/talk/trans.rs
@@ -130,16 +130,12 @@
         state: &SessionState,
     ) -> Told {
         let name = session.borrow().name.clone();
-        let gate = match self.decider.gate(&name) {
+        let start = self.env.now();
+        let gate = match self.admitted_route(&name).await {
             Ok(g) => g,
             Err(k) => return self.fail(session, Fail::no(k)),
         };
         let (most, patience) = self.spans(&gate);
-        let start = self.env.now();
-        if let Err(k) = self.admitted(start + patience).await {
-            bump(&self.tally.refused);
-            return self.fail(session, Fail::no(k));
-        }
         let due = start + most;
         let key = self.gauges.key(&name, "");
         let mut tried = Vec::new();
