Where nodes outnumber a server's connections, every node may try, rests none, reads more seldom

Changed: a server that guards its own cap may be tried by every node where connections are scarce (an eighth of the cap at most each); a connection to it rests for a quarter of a lease at most; one that does not guard its cap is shared in turn. Nodes are told how many share a server; above twelve each reads it so many times as seldom, and tells nothing of a server it did not ask lately. What the leading hub and the nodes look up for each heartbeat, reading and tuning no longer walks through all servers and routes; weights are tuned where statements went by. A set may hold 1,000 groups instead of 100.

--- a/base/src/edge/operator.rs
+++ b/base/src/edge/operator.rs
@@ -191,22 +191,27 @@
 /// The longest span that a doorway may name, in milliseconds: a day.
 const LONGEST_MS: u64 = 86_400_000;
 
+/// How many doorways and groups a set may hold. A body and a frame between processes hold no more in any case.
+const MOST_DOORWAYS: usize = 4000;
+const MOST_GROUPS: usize = 1000;
+
 /// Every fault of a whole set; empty when it can be taken.
 pub fn check(doorways: &[Doorway], groups: &[Group], limits: &Limits) -> Vec<String> {
     let mut out = Vec::new();
-    if doorways.len() > 4000 {
-        out.push(format!("doorways: {} of at most 4000", doorways.len()));
+    if doorways.len() > MOST_DOORWAYS {
+        out.push(format!("doorways: {} of at most {MOST_DOORWAYS}", doorways.len()));
     }
-    if groups.len() > 100 {
-        out.push(format!("groups: {} of at most 100", groups.len()));
+    if groups.len() > MOST_GROUPS {
+        out.push(format!("groups: {} of at most {MOST_GROUPS}", groups.len()));
     }
+    let known: std::collections::BTreeSet<&str> = groups.iter().map(|g| g.name.as_str()).collect();
     let mut seen = std::collections::BTreeSet::new();
     for d in doorways {
         out.extend(name_fault("doorway", &d.name));
         if !seen.insert(&d.name) {
             out.push(format!("doorway {:?}: named twice", d.name));
         }
-        if !groups.iter().any(|g| g.name == d.group) {
+        if !known.contains(d.group.as_str()) {
             out.push(format!("doorway {:?}: no group {:?}", d.name, d.group));
         }
         for (field, span) in [("statement_ms", d.statement_ms), ("aim_ms", d.aim_ms), ("fresh_ms", d.fresh_ms)] {
--- a/hub/src/leadership/elections.rs
+++ b/hub/src/leadership/elections.rs
@@ -271,7 +271,7 @@
         let own = if self.refused.borrow().contains(server) { shut } else { own.min(most) };
         let mut ages = vec![own];
         for seat in self.seats.borrow().values().filter(|s| !s.hub && s.heard > fresh) {
-            if let Some(x) = seat.sights.iter().find(|x| x.server == server) {
+            if let Some(x) = seat.sights.get(server) {
                 let age = (Duration::from_millis(x.age) + now.saturating_sub(seat.heard)).min(most);
                 ages.push(if x.refused { shut } else { age });
             }
--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -64,7 +64,7 @@
         };
         let mut ages = vec![own];
         for seat in self.seats.borrow().values().filter(|s| !s.hub && s.heard > fresh) {
-            if let Some(x) = seat.sights.iter().find(|x| x.server == server) {
+            if let Some(x) = seat.sights.get(server) {
                 let late = now.saturating_sub(seat.heard).saturating_sub(self.bounds.beat());
                 ages.push(if x.refused { shut } else { Duration::from_millis(x.age) + late });
             }
@@ -188,7 +188,7 @@
         let blind = |s: &str| {
             let seats = self.seats.borrow();
             let late = self.bounds.missed().as_millis() as u64 * 2 / 3;
-            let miss = |x: &super::NodeRecord| x.sights.iter().any(|y| y.server == s && (y.age > late || y.refused));
+            let miss = |x: &super::NodeRecord| x.sights.get(s).is_some_and(|y| y.age > late || y.refused);
             seats.values().filter(|x| !x.hub && x.heard > fresh && miss(x)).count()
         };
         let own = blind(&st.server);
--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -395,11 +395,13 @@
                 let cold = self.servers.borrow().get(s).map_or(0.0, |t| t.cold);
                 let cold = if self.disabled.no_ramp { 0.0 } else { cold };
                 let cap = leases::cap(g.cap, cold);
-                let count = match self.disabled.no_ledger {
-                    true => cap,
-                    false => table.share(s, holder, cap, now, until, g.confirms),
+                let leases::Share { count, scarce, sharers } = match self.disabled.no_ledger {
+                    true => leases::Share { count: cap, scarce: false, sharers: 1 },
+                    // A cold server's cap is what it bears, not what it guards.
+                    false => table.share(s, holder, cap, now, until, g.confirms && cold == 0.0),
                 };
-                out.push(wire::Share { server: s.clone(), count, span: self.bounds.grant().as_millis() as u64 });
+                let span = self.bounds.grant().as_millis() as u64;
+                out.push(wire::Share { server: s.clone(), count, span, scarce, sharers });
             }
         }
         out
--- a/hub/src/leadership/registry.rs
+++ b/hub/src/leadership/registry.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::edge::backend::Report;
 use wire::{Beat, Node, Server, Sight, Spot};
@@ -119,7 +119,8 @@
 pub struct NodeRecord {
     pub node: Node,
     pub heard: Duration,
-    pub sights: Vec<Sight>,
+    /// What it sees of servers, by their names.
+    pub sights: BTreeMap<String, Sight>,
     pub hub: bool,
 }
 
@@ -134,17 +135,18 @@
             parent: b.parent.clone(),
             depth: b.depth,
         };
-        Self { node, heard: now, sights: b.sights.clone(), hub: b.hub }
+        let sights = b.sights.iter().map(|sight| (sight.server.clone(), sight.clone())).collect();
+        Self { node, heard: now, sights, hub: b.hub }
     }
 
     /// Whether the node has had no answer from a server for a span.
     pub fn blind(&self, server: &str, now: Duration, span: Duration) -> bool {
-        let sight = self.sights.iter().find(|x| x.server == server);
+        let sight = self.sights.get(server);
         sight.is_none_or(|x| Duration::from_millis(x.age) + now.saturating_sub(self.heard) > span)
     }
 
     /// From news that an earlier leading hub sent.
     pub fn from_news(n: &Node, now: Duration) -> Self {
-        Self { node: n.clone(), heard: now, sights: Vec::new(), hub: false }
+        Self { node: n.clone(), heard: now, sights: BTreeMap::new(), hub: false }
     }
 }
--- a/hub/src/leases.rs
+++ b/hub/src/leases.rs
@@ -11,6 +11,9 @@
 /// In which part of a lease's span the shares of a server are worked out anew.
 const PARTS_PER_SPAN: u32 = 16;
 
+/// The most that one node gets of a scarce server which guards its own cap, as a part of the cap.
+const SCARCE_PARTS: u64 = 8;
+
 /// How many connections nodes may share out, by the cap and how cold the server is.
 pub fn cap(cap: u64, cold: f64) -> u64 {
     let all = cap.saturating_sub(KEPT_BACK).max(1);
@@ -26,6 +29,16 @@
     pub nonce: u64,
 }
 
+/// What a node gets of a server's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    pub count: u64,
+    /// More nodes want a connection than there are: one that rests is to be given back soon.
+    pub scarce: bool,
+    /// How many nodes share the server's connections.
+    pub sharers: u64,
+}
+
 /// A share of a server's connections that may be out.
 #[derive(Clone, Default)]
 struct ShareLease {
@@ -159,46 +172,61 @@
         all.filter(|(_, lease)| now < lease.until).map(|(node, _)| node.clone()).collect()
     }
 
-    /// Gives a node its share of a server, never more than what is not out elsewhere. `soft`: the server itself turns
-    /// away what is over its cap.
-    pub fn share(&mut self, server: &str, to: Holder, cap: u64, now: Duration, until: Duration, soft: bool) -> u64 {
+    /// Gives a node its share of a server. `soft`: the server itself turns away what is over its cap, so that every node
+    /// may try where connections are scarce; else never more is given than is not out elsewhere.
+    pub fn share(&mut self, server: &str, to: Holder, cap: u64, now: Duration, until: Duration, soft: bool) -> Share {
         let grace = now < self.grace;
         let all = self.shares.entry(server.into()).or_default();
-        all.retain(|_, lease| now < lease.until || now < lease.told + (until - now));
-        for lease in all.values_mut() {
-            if now >= lease.until && !grace {
-                lease.count = 0;
-            }
+        let own = all.entry(to.node.into()).or_default();
+        if now >= own.until && !grace {
+            own.count = 0;
         }
-        let fair = self.fair_part(server, to.node, cap, now, until);
-        let all = self.shares.entry(server.into()).or_default();
-        let others: u64 = all.iter().filter(|(node, _)| *node != to.node).map(|(_, lease)| lease.count).sum();
-        let held = all.get(to.node).map_or(0, |lease| lease.count);
-        let give = match (grace, soft) {
-            (false, _) => fair.min(cap.saturating_sub(others)),
+        let (held, want) = (own.count, own.want.max(1));
+        let (fair, sharers) = self.fair_part(server, to.node, cap, now, until);
+        let scarce = sharers > cap;
+        let count = match (grace, soft) {
+            (_, true) if scarce => want.min((cap / SCARCE_PARTS).max(1)),
+            (false, _) => fair.min(cap.saturating_sub(self.out_elsewhere(server, to.node, now))),
             (true, false) => held.min(cap),
             // What is out besides can't be known yet.
             (true, true) => held.max(fair).min(cap),
         };
-        let lease = all.entry(to.node.into()).or_default();
+        let lease = self.shares.entry(server.into()).or_default().entry(to.node.into()).or_default();
         // What was given stays out until the node tells that it holds less, or until it has run out.
-        lease.count = lease.count.max(give);
+        lease.count = lease.count.max(count);
         lease.until = until;
         lease.nonce = to.nonce;
         lease.boot = to.boot;
-        give
+        Share { count, scarce, sharers }
+    }
+
+    /// How many connections of a server other nodes may hold.
+    fn out_elsewhere(&self, server: &str, node: &str, now: Duration) -> u64 {
+        let others = self.shares.get(server).into_iter().flatten().filter(|(name, _)| *name != node);
+        others.filter(|(_, lease)| now < lease.until).map(|(_, lease)| lease.count).sum()
     }
 
-    /// A node's part of a server's connections, by what all nodes want.
-    fn fair_part(&mut self, server: &str, node: &str, cap: u64, now: Duration, until: Duration) -> u64 {
+    /// A node's part of a server's connections, by what all nodes want, and among how many they are divided.
+    fn fair_part(&mut self, server: &str, node: &str, cap: u64, now: Duration, until: Duration) -> (u64, u64) {
         let fresh = |d: &&Division| now < d.until && d.cap == cap && d.parts.contains_key(node);
         if self.divisions.get(server).filter(fresh).is_none() {
-            let wants = self.shares.get(server).into_iter().flatten();
-            let parts = fair(wants.map(|(name, lease)| (name.as_str(), lease.want)), cap);
-            let division = Division { until: now + (until - now) / PARTS_PER_SPAN, cap, parts };
+            let division = self.divide(server, cap, now, until);
             self.divisions.insert(server.into(), division);
         }
-        self.divisions.get(server).and_then(|d| d.parts.get(node)).copied().unwrap_or(0)
+        let division = self.divisions.get(server);
+        division.map_or((0, 1), |d| (d.parts.get(node).copied().unwrap_or(0), d.parts.len() as u64))
+    }
+
+    /// Works out the parts of all nodes that told of a server lately, and forgets the others.
+    fn divide(&mut self, server: &str, cap: u64, now: Duration, until: Duration) -> Division {
+        let span = until - now;
+        let all = self.shares.entry(server.into()).or_default();
+        all.retain(|_, lease| now < lease.until.max(lease.told + span));
+        let wants: Vec<(&str, u64)> = all.iter().map(|(name, lease)| (name.as_str(), lease.want)).collect();
+        let turn = now.as_millis() / span.as_millis().max(1);
+        let scarce = wants.len() as u64 > cap;
+        let parts = if scarce { in_turn(&wants, cap, turn) } else { fair(&wants, cap) };
+        Division { until: now + span / PARTS_PER_SPAN, cap, parts }
     }
 
     /// What is out now: server, node, count.
@@ -209,8 +237,8 @@
 }
 
 /// Divides a cap by wants: everyone gets what it wants up to an even part, the rest goes to those who want more.
-fn fair<'a>(wants: impl Iterator<Item = (&'a str, u64)>, cap: u64) -> BTreeMap<String, u64> {
-    let mut rows: Vec<(u64, &str)> = wants.map(|(n, w)| (w.max(1), n)).collect();
+fn fair(wants: &[(&str, u64)], cap: u64) -> BTreeMap<String, u64> {
+    let mut rows: Vec<(u64, &str)> = wants.iter().map(|(name, want)| ((*want).max(1), *name)).collect();
     rows.sort();
     let mut left = cap;
     let mut heads = rows.len() as u64;
@@ -223,3 +251,12 @@
     }
     out
 }
+
+/// Gives one connection each to as many nodes as there are connections; with each turn to the next ones.
+fn in_turn(wants: &[(&str, u64)], cap: u64, turn: u128) -> BTreeMap<String, u64> {
+    let nodes = wants.len().max(1);
+    let first = (turn * u128::from(cap) % nodes as u128) as usize;
+    let place = |index: usize| (index + nodes - first) % nodes;
+    let part = |index: usize| u64::from((place(index) as u64) < cap);
+    wants.iter().enumerate().map(|(index, (name, _))| (name.to_string(), part(index))).collect()
+}
--- a/spoke/src/decide/mod.rs
+++ b/spoke/src/decide/mod.rs
@@ -2,6 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
+use crate::{
+    gauge::{Gauges, Key},
+    run::{DisabledGuards, Pools},
+    view::{Journal, View},
+};
 use base::{
     Bounds, Kind,
     edge::{backend::Signs, caller::Token, operator::Promise},
@@ -9,13 +14,6 @@
     words::Position,
 };
 use pick::choose;
-use wire::Doorway;
-
-use crate::{
-    gauge::{Gauges, Key},
-    run::{DisabledGuards, Pools},
-    view::{Journal, View},
-};
 
 /// On what a send rests; looked at again before the send and before the answer.
 #[derive(Clone, Debug, PartialEq)]
@@ -100,8 +98,8 @@
     /// The doorway of a name.
     pub fn gate(&self, name: &str) -> Result<MatchedRoute, Kind> {
         let view = self.journal.view();
-        let image = view.image.as_ref().ok_or(Kind::Unconfirmed)?;
-        let d: &Doorway = image.doorways.iter().find(|d| d.name == name).ok_or(Kind::NoDatabase)?;
+        view.image.as_ref().ok_or(Kind::Unconfirmed)?;
+        let d = view.doorway(name).ok_or(Kind::NoDatabase)?;
         let promise = Promise::find(&d.promise).ok_or(Kind::NoDatabase)?;
         let span = |ms: u64| (ms > 0).then(|| Duration::from_millis(ms));
         Ok(MatchedRoute {
--- a/spoke/src/gauge/mod.rs
+++ b/spoke/src/gauge/mod.rs
@@ -66,6 +66,8 @@
     pub weights: Weights,
     /// Real statements that excluded servers may still be given in this cycle.
     pub samples: BTreeMap<String, u64>,
+    /// A statement was measured since the weights were last tuned.
+    is_measured: bool,
 }
 
 /// All measurements of this node.
@@ -133,21 +135,27 @@
         let mut lists = self.lists.borrow_mut();
         let key = if lists.len() >= KINDS && !lists.contains_key(key) { &(key.0.clone(), "*".into()) } else { key };
         let list = lists.entry(key.clone()).or_default();
+        list.is_measured |= !matches!(out, Outcome::Probe | Outcome::Missed);
         list.windows.entry(server.into()).or_insert_with(|| Window::new(span)).record(now, out, time);
     }
 
     /// Takes in how a position reading ended, for every list of the group.
     fn record_probe(&self, server: &str, good: bool) {
-        let names: Vec<String> = {
+        let out = if good { Outcome::Probe } else { Outcome::Missed };
+        let keys: Vec<Key> = {
             let view = self.journal.view();
             let Some(image) = &view.image else { return };
-            let Some(g) = image.home(server) else { return };
-            image.doorways.iter().filter(|d| d.group == g.name).map(|d| d.name.clone()).collect()
+            let Some(group) = image.home(server) else { return };
+            let lists = self.lists.borrow();
+            let names = image.doorways.iter().filter(|d| d.group == group.name).map(|d| &d.name);
+            let of_name = |name: &String| {
+                let first = (name.clone(), String::new());
+                lists.range(first..).map(|(key, _)| key).take_while(|key| key.0 == *name).cloned().collect::<Vec<_>>()
+            };
+            names.flat_map(of_name).collect()
         };
-        let out = if good { Outcome::Probe } else { Outcome::Missed };
-        let keys: Vec<Key> = self.lists.borrow().keys().filter(|k| names.contains(&k.0)).cloned().collect();
-        for k in keys {
-            self.record(&k, server, out, Duration::ZERO);
+        for key in keys {
+            self.record(&key, server, out, Duration::ZERO);
         }
     }
 
--- a/spoke/src/gauge/sample.rs
+++ b/spoke/src/gauge/sample.rs
@@ -12,6 +12,9 @@
 use super::Gauges;
 use crate::{pool::Pool, run::Pools, view::Event};
 
+/// A follower is read so many times as seldom as its leader.
+const FOLLOWER_FACTOR: u32 = 4;
+
 impl Gauges {
     /// Keeps one reading task for each server, in the standing list or not.
     pub async fn samples(self: Rc<Self>, pools: Rc<Pools>) -> Result<(), Infallible> {
@@ -40,11 +43,12 @@
                 let b = self.bounds.borrow();
                 (b.call(), b.missed())
             };
-            self.env.sleep(rare / 8).await;
+            self.env.sleep(if pool.reading_factor() > 1 { rare / 2 } else { rare / 8 }).await;
             let now = self.env.now();
             let leads = self.journal.view().leads.values().any(|l| l.server == server);
             let x = self.sight(&server);
-            let due = if leads { rare } else { rare * 4 };
+            let due = if leads { rare } else { rare * FOLLOWER_FACTOR };
+            let due = due * pool.reading_factor();
             let heard = x.at.is_some_and(|t| now < t + due) && x.open.is_none_or(|t| now < t + rare / 4);
             if pool.limit() == 0 {
                 // Nothing is asked here now; what went unanswered before tells nothing of later.
--- a/spoke/src/gauge/select.rs
+++ b/spoke/src/gauge/select.rs
@@ -1,4 +1,4 @@
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, convert::Infallible, rc::Rc, time::Duration};
 
 use base::seam::Part;
 use pick::{Candidate, Policy, tune};
@@ -49,8 +49,9 @@
         let view = self.journal.view();
         let Some(image) = &view.image else { return };
         self.forget(image);
+        let names: BTreeSet<&str> = image.doorways.iter().map(|d| d.name.as_str()).collect();
         let mut lists = self.lists.borrow_mut();
-        lists.retain(|k, _| image.doorways.iter().any(|d| d.name == k.0));
+        lists.retain(|key, _| names.contains(key.0.as_str()));
         for d in &image.doorways {
             lists.entry((d.name.clone(), "*".into())).or_default();
         }
@@ -59,7 +60,7 @@
     fn candidates(&self, key: &Key, now: Duration) -> Vec<Candidate> {
         let view = self.journal.view();
         let Some(image) = &view.image else { return Vec::new() };
-        let Some(d) = image.doorways.iter().find(|d| d.name == key.0) else { return Vec::new() };
+        let Some(d) = view.doorway(&key.0) else { return Vec::new() };
         let Some(g) = image.groups.iter().find(|g| g.name == d.group) else { return Vec::new() };
         let lists = self.lists.borrow();
         let spare = &self.policy.borrow().fallback;
@@ -107,9 +108,15 @@
         }
     }
 
+    /// Tunes the weights of the lists that statements went by since they were last tuned.
     fn tune(&self) {
         let now = self.env.now();
-        let keys: Vec<Key> = self.lists.borrow().keys().cloned().collect();
+        let mut keys: Vec<Key> = Vec::new();
+        for (key, list) in self.lists.borrow_mut().iter_mut() {
+            if std::mem::take(&mut list.is_measured) {
+                keys.push(key.clone());
+            }
+        }
         for k in keys {
             let rows = self.candidates(&k, now);
             let view = self.journal.view();
--- a/spoke/src/pool/mod.rs
+++ b/spoke/src/pool/mod.rs
@@ -53,8 +53,13 @@
 struct Conn {
     line: Link,
     dress: Option<StateOwner>,
+    /// Since when it rests, while it does.
+    resting_since: Duration,
 }
 
+/// How many nodes may each read a server's position at the full rate.
+const READERS_AT_FULL_RATE: u64 = 12;
+
 /// How sessions in the users' manner are opened: the manner and the group's name.
 pub type Speech = Option<(Rc<dyn ServerProtocol>, String)>;
 
@@ -72,6 +77,12 @@
     most: usize,
     /// How long opening a connection may take.
     dial: Duration,
+    /// How long a connection may rest where connections are scarce.
+    resting: Duration,
+    /// More nodes want a connection than the server takes.
+    pub scarce: Cell<bool>,
+    /// How many nodes share the server's connections.
+    pub sharers: Cell<u64>,
     /// Until when no connection is opened, as the server turned one away.
     shy: Cell<Duration>,
     /// Since when no connection could be opened, while some were tried.
@@ -85,7 +96,15 @@
 
 impl Pool {
     /// A pool that may open nothing yet.
-    pub fn new(env: &Env, server: &str, addr: SocketAddr, most: usize, dial: Duration, speech: Speech) -> Rc<Self> {
+    pub fn new(
+        env: &Env,
+        server: &str,
+        addr: SocketAddr,
+        most: usize,
+        dial: Duration,
+        resting: Duration,
+        speech: Speech,
+    ) -> Rc<Self> {
         Rc::new(Self {
             env: env.clone(),
             server: server.into(),
@@ -98,6 +117,9 @@
             inbox: RefCell::default(),
             most,
             dial,
+            resting,
+            scarce: Cell::default(),
+            sharers: Cell::new(1),
             shy: Cell::default(),
             trying: Cell::default(),
             speech,
@@ -131,6 +153,12 @@
         self.limit.get()
     }
 
+    /// How many times as seldom this node reads the server's position, so that all who share it together ask no more often
+    /// than a few nodes would.
+    pub fn reading_factor(&self) -> u32 {
+        u32::try_from(self.sharers.get() / READERS_AT_FULL_RATE).unwrap_or(u32::MAX).max(1)
+    }
+
     /// How many sessions wait.
     pub fn waiting(&self) -> usize {
         self.inbox.borrow().len()
@@ -162,6 +190,18 @@
         self.admit();
     }
 
+    /// Closes connections to a scarce server that have rested for long enough: others want them.
+    pub fn give_back_resting(self: &Rc<Self>) {
+        if !self.scarce.get() || self.idle.borrow().is_empty() {
+            return;
+        }
+        let now = self.env.now();
+        let mut idle = self.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain(|conn| now < conn.resting_since + self.resting);
+        self.open.set(self.open.get() - (before - idle.len()));
+    }
+
     fn admit(self: &Rc<Self>) {
         while self.open.get() < self.limit.get() && !self.shies() {
             let Some(next) = self.inbox.borrow_mut().pop_front() else { return };
@@ -238,7 +278,7 @@
                     Some(n) => {
                         let _ = n.send(Slot::new(self, Some(c)));
                     }
-                    None => self.idle.borrow_mut().push(c),
+                    None => self.idle.borrow_mut().push(Conn { resting_since: self.env.now(), ..c }),
                 }
             }
             _ => {
--- a/spoke/src/pool/slot.rs
+++ b/spoke/src/pool/slot.rs
@@ -50,7 +50,11 @@
                 Ok(Ok(line)) => {
                     self.pool.trying.set(None);
                     self.pool.opened.set(self.pool.opened.get() + 1);
-                    self.conn = Some(Conn { line: Link::Talk(line, AppliedState::default()), dress: None });
+                    self.conn = Some(Conn {
+                        line: Link::Talk(line, AppliedState::default()),
+                        dress: None,
+                        resting_since: Duration::ZERO,
+                    });
                     Ok(())
                 }
                 // One that is there and takes no session lives, and is full.
@@ -64,7 +68,7 @@
         match Client::connect(&self.pool.env, self.pool.addr, span, MOST).await {
             Ok(line) => {
                 self.pool.opened.set(self.pool.opened.get() + 1);
-                self.conn = Some(Conn { line: Link::Http(line), dress: None });
+                self.conn = Some(Conn { line: Link::Http(line), dress: None, resting_since: Duration::ZERO });
                 Ok(())
             }
             Err(_) => Err(Kind::NoServer),
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -67,11 +67,16 @@
     pub no_linger: bool,
 }
 
+/// A connection to a scarce server rests for so large a part of a lease at most.
+const RESTING_PARTS: u32 = 4;
+
 /// The pools of all servers.
 pub struct Pools {
     env: Env,
     most: usize,
     dial: Duration,
+    /// How long a connection to a scarce server may rest.
+    resting: Duration,
     manner: Option<Rc<dyn ServerProtocol>>,
     map: RefCell<BTreeMap<String, Rc<Pool>>>,
     disabled: DisabledGuards,
@@ -86,6 +91,7 @@
         env: &Env,
         most: usize,
         dial: Duration,
+        resting: Duration,
         disabled: DisabledGuards,
         manner: Option<Rc<dyn ServerProtocol>>,
     ) -> Rc<Self> {
@@ -93,6 +99,7 @@
             env: env.clone(),
             most,
             dial,
+            resting,
             manner,
             disabled,
             noted_without_share: Cell::default(),
@@ -175,18 +182,24 @@
                         (Some(_), None) => continue,
                         _ => None,
                     };
-                    map.insert(name.clone(), Pool::new(&self.env, name, addr, self.most, self.dial, speech));
+                    map.insert(
+                        name.clone(),
+                        Pool::new(&self.env, name, addr, self.most, self.dial, self.resting, speech),
+                    );
                     moved = true;
                 }
             }
         }
         for (name, pool) in self.all() {
             let share = journal.view().shares.get(&name).copied();
-            let limit =
-                share.filter(|(_, until)| now < *until || self.disabled.no_confirm).map_or(0, |(n, _)| n as usize);
+            let share = share.filter(|share| now < share.until || self.disabled.no_confirm);
+            let limit = share.map_or(0, |share| share.count as usize);
+            pool.scarce.set(share.is_some_and(|share| share.scarce));
+            pool.sharers.set(share.map_or(1, |share| share.sharers));
             if limit != pool.limit() {
                 pool.set_limit(limit);
             }
+            pool.give_back_resting();
         }
         self.note_shares();
         if moved {
@@ -201,6 +214,8 @@
     gauges: Rc<Gauges>,
     pools: Rc<Pools>,
     hurry: Bell,
+    /// After how long without an answer from a server that is read seldom this node tells nothing of it.
+    rarely_asked: Duration,
 }
 
 impl Head for Node {
@@ -216,9 +231,14 @@
             beat.shares.push(Held { server: name.clone(), count, want: pool.want() as u64 });
             if pool.limit() > 0 {
                 let x = self.gauges.sight(&name);
+                let silent = x.silent(pool.trying());
+                if pool.reading_factor() > 1 && silent.is_none() && x.at.is_none_or(|t| now > t + self.rarely_asked) {
+                    // Nothing was asked lately, so nothing can be told.
+                    continue;
+                }
                 let age = match pool.speech {
                     // How long a question stands unanswered: silence tells nothing where nothing was asked.
-                    Some(_) => x.silent(pool.trying()).map_or(0, |t| now.saturating_sub(t).as_millis() as u64),
+                    Some(_) => silent.map_or(0, |t| now.saturating_sub(t).as_millis() as u64),
                     None => x.at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64),
                 };
                 beat.sights.push(Sight {
@@ -294,7 +314,7 @@
     let sock: http::Slot = Rc::new(RefCell::new(Some(env.listen(place.http).await?)));
     let bounds = place.bounds.clone();
     let journal = Journal::new(env);
-    let pools = Pools::new(env, place.most_inbox, bounds.call(), disabled, manner);
+    let pools = Pools::new(env, place.most_inbox, bounds.call(), bounds.grant() / RESTING_PARTS, disabled, manner);
     let gauges = Gauges::new(env, journal.clone(), bounds.clone(), place.policy.clone(), disabled.grow);
     let relay = Relay::new(env, who.clone(), bounds.clone());
     relay.lead(Rc::new(Node {
@@ -303,6 +323,7 @@
         gauges: gauges.clone(),
         pools: pools.clone(),
         hurry: relay.hurry.clone(),
+        rarely_asked: bounds.missed() * 2,
     }));
     let door = Door::new(place.most_sessions, place.most_body);
     door.cut.set(disabled.cut_bodies);
--- a/spoke/src/view/fold.rs
+++ b/spoke/src/view/fold.rs
@@ -2,7 +2,7 @@
 
 use wire::Snapshot;
 
-use super::{Event, Lead, Server, View};
+use super::{Event, Lead, Server, Share, View};
 
 impl View {
     /// Folds one event in; gives a line for the journal when it changed something.
@@ -25,7 +25,8 @@
                 self.handed += u64::from(self.leads.keys().any(|g| !leads.contains_key(g)));
                 self.leads = leads;
                 for s in ret.shares {
-                    self.shares.insert(s.server, (s.count, sent + Duration::from_millis(s.span)));
+                    let until = sent + Duration::from_millis(s.span);
+                    self.shares.insert(s.server, Share { count: s.count, until, scarce: s.scarce, sharers: s.sharers });
                 }
                 self.forget_shares(now);
                 self.waits.push((sent, ret.mark.unwrap_or_default()));
@@ -84,7 +85,7 @@
     fn forget_shares(&mut self, now: Duration) {
         let image = self.image.as_ref();
         let in_force = |server: &str| image.is_some_and(|image| image.home(server).is_some());
-        self.shares.retain(|server, (_, until)| now < *until || in_force(server));
+        self.shares.retain(|server, share| now < share.until || in_force(server));
     }
 
     fn confirm(&mut self) {
--- a/spoke/src/view/mod.rs
+++ b/spoke/src/view/mod.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{bell::Bell, seam::Env};
-use wire::{BeatReturn, Image, Mark, Snapshot};
+use wire::{BeatReturn, Doorway, Image, Mark, Snapshot};
 
 /// How many events the journal keeps for inspection.
 const MOST: usize = 512;
@@ -51,6 +51,17 @@
     pub since: Duration,
 }
 
+/// This node's share of a server's connections.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    pub count: u64,
+    pub until: Duration,
+    /// More nodes want a connection than there are: one that rests is given back soon.
+    pub scarce: bool,
+    /// How many nodes share the server's connections.
+    pub sharers: u64,
+}
+
 /// Folded from all events so far.
 #[derive(Default)]
 pub struct View {
@@ -59,7 +70,7 @@
     /// Since when each emptied area is known to be emptied.
     pub emptied: BTreeMap<String, Duration>,
     pub leads: BTreeMap<String, Lead>,
-    pub shares: BTreeMap<String, (u64, Duration)>,
+    pub shares: BTreeMap<String, Share>,
     pub mark: Mark,
     /// The leading hub's word was the newest at this time.
     pub confirmed: Option<Duration>,
@@ -68,6 +79,15 @@
     waits: Vec<(Duration, Mark)>,
 }
 
+impl View {
+    /// The doorway of a name; news keeps them in order.
+    pub fn doorway(&self, name: &str) -> Option<&Doorway> {
+        let doorways = &self.image.as_ref()?.doorways;
+        let at = doorways.binary_search_by(|d| d.name.as_str().cmp(name)).ok()?;
+        doorways.get(at)
+    }
+}
+
 /// The journal and its view.
 pub struct Journal {
     env: Env,
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -196,6 +196,12 @@
     pub count: u64,
     #[prost(uint64, tag = "3")]
     pub span: u64,
+    /// More nodes want a connection than there are: one that rests is to be given back soon.
+    #[prost(bool, tag = "4")]
+    pub scarce: bool,
+    /// How many nodes share the server's connections; 0 from builds that do not tell.
+    #[prost(uint64, tag = "5")]
+    pub sharers: u64,
 }
 
 /// What goes down the tree, whole: the operator's word and the servers as last told.
