--- a/hub/src/consensus/core.rs
+++ b/hub/src/consensus/core.rs
@@ -48,10 +48,9 @@
 }
 
 impl Peer {
-    /// Whether it is to be sent this image now: it lacks it, and none is under way to it. One image at a time, the newest
-    /// once the one before was acknowledged: in a row of changes, large images would hold heartbeats up.
+    /// Whether it is to be sent this image now: it lacks it, and was not sent it lately.
     pub(super) fn wants_image(&self, version: Version, now: Duration, patience: Duration) -> bool {
-        let under_way = self.image_sent.is_some_and(|(sent, at)| self.version != sent && now < at + patience);
+        let under_way = self.image_sent.is_some_and(|(sent, at)| sent == version && now < at + patience);
         self.version != version && !under_way
     }
 
--- a/hub/src/consensus/replication.rs
+++ b/hub/src/consensus/replication.rs
@@ -5,15 +5,12 @@
 use wire::{Heartbeat, HeartbeatAck, Image};
 
 use super::{
-    core::{AfterSave, Core, Peer, Role, Waiting},
+    core::{AfterSave, Core, Role, Waiting},
     quorum,
     types::{Change, Clock, Effect, InheritedLeases, Message, Outcome, Ticket},
 };
 use crate::store::{DurableState, Version};
 
-/// After how many holds without an answer an image is sent again. Links lose nothing while they stand.
-const IMAGE_HOLDS: u32 = 4;
-
 impl Core {
     /// The state with the next image of this term.
     pub(super) fn next_version(&self, image: Image) -> DurableState {
@@ -50,27 +47,13 @@
 
     /// Sends a heartbeat to each connected control node, with the image where it is missing.
     pub(super) fn send_heartbeats(&mut self, clock: Clock) {
-        self.send_heartbeats_to(clock, |_, _| true);
-    }
-
-    /// Sends a control node that has acknowledged an older image the newest one at once.
-    fn send_newer_image(&mut self, clock: Clock, to: &str) {
-        let (version, patience) = (self.version(), self.image_patience());
-        self.send_heartbeats_to(clock, |name, peer| name == to && peer.wants_image(version, clock.now, patience));
-    }
-
-    /// After how long without an answer an image is sent again.
-    fn image_patience(&self) -> Duration {
-        self.timing.hold * IMAGE_HOLDS
-    }
-
-    fn send_heartbeats_to(&mut self, clock: Clock, is_meant: impl Fn(&str, &Peer) -> bool) {
         let nonce = self.next_nonce();
         let version = self.version();
         let committed = self.committed.as_ref().map_or(0, |c| c.0);
-        let patience = self.image_patience();
+        // Sent again only once an answer is overdue: many large images at once would hold heartbeats up.
+        let patience = self.timing.hold;
         let mut out = Vec::new();
-        for (name, peer) in self.peers.iter_mut().filter(|(name, p)| p.connected && is_meant(name, p)) {
+        for (name, peer) in self.peers.iter_mut().filter(|p| p.1.connected) {
             peer.note_sent(nonce, clock.now);
             let wants_image = peer.wants_image(version, clock.now, patience);
             let image = self.durable.image.as_ref().filter(|_| wants_image).cloned();
@@ -180,7 +163,6 @@
             peer.last_ack = peer.last_ack.max(Some(sent));
         }
         self.advance_commit(clock);
-        self.send_newer_image(clock, from);
         self.effect(Effect::Changed);
     }
 
