A member votes for a candidate whose newer image it does not have yet

Cause: a voter refused candidates that its own image does not name. A member that missed a change of the membership (cut off while a leaving member was replaced) so refused the only member that has the newest image, and could not be elected itself, its image being older: no leader for good, though two of three disks were left. The same class as the search for a parent: who the control nodes are was judged by an older list than the one in force. A candidate counts itself and its votes by its own image, and changes are joint, so a vote for a strictly newer image is safe. Test: a_member_that_missed_a_change_of_the_membership_votes_for_one_that_it_does_not_know; before, the two that are left elect nobody; after, an order is taken.

--- a/hub/src/consensus/election.rs
+++ b/hub/src/consensus/election.rs
@@ -91,7 +91,9 @@
             || (request.term == state.term && (state.voted_for.is_empty() || state.voted_for == from));
         let version = Version { term: request.version_term, index: request.version_index };
         let up_to_date = version >= self.version() || self.guards.vote_for_older;
-        let known = state.image.is_none() || self.counts(from, request.incarnation);
+        // A newer image may name members that this one does not; a candidate counts itself and its votes by its own.
+        let has_newer_image = version > self.version();
+        let known = state.image.is_none() || has_newer_image || self.counts(from, request.incarnation);
         !holds && free && up_to_date && known && !state.rescued
     }
 
--- a/hub/tests/consensus_days.rs
+++ b/hub/tests/consensus_days.rs
@@ -249,6 +249,28 @@
     assert_clean(&world);
 }
 
+/// A member misses a change of the membership, and is then one of the two that are left: the other has the newest image,
+/// and is a member that the first one's image does not name.
+#[test]
+fn a_member_that_missed_a_change_of_the_membership_votes_for_one_that_it_does_not_know() {
+    let mut world = calm(4, 3, ALL_GUARDS);
+    let top = leader(&world);
+    let spare = (0..4).find(|i| !world.member_indices().contains(i)).expect("one stands by");
+    let rest: Vec<usize> = world.member_indices().into_iter().filter(|i| *i != top).collect();
+    let (away, leaving) = (rest[0], rest[1]);
+    cut_both_ways(&mut world, away, &[top, leaving, spare]);
+    world.leave(leaving);
+    run_for(&mut world, timing().heartbeat * 8);
+    assert!(world.member_indices().contains(&spare), "it takes the place of the one that leaves");
+    world.kill(leaving);
+    world.nodes[leaving].removed = true;
+    assert!(world.bears_loss_of(top), "two of the three members' disks are left");
+    world.kill(top);
+    world.nodes[top].removed = true;
+    assert!(world.recovers(), "the two that are left elect nobody");
+    assert_clean(&world);
+}
+
 /// A member that was away for three hundred changes catches up before it can lead, by one image; its disk holds no more
 /// than the others'.
 #[test]
