A leader that is to end is told to follow before the next one is named

A planned hand-over relied on the list of servers and let the old leader serve until the next one led. Where the old one ends, another comes in its place, which receives before its first heartbeat was heard: it can confirm alone in that time, listed nowhere. Changed: a leader that drains or left is told to follow first, so that it confirms nothing more, and the next one must hold what it then held (hand_down, as for lists that are not known to be complete). Evacuations and wishes go as before.

--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -146,10 +146,11 @@
             return;
         }
         let told = self.servers.borrow().get(&st.server).cloned();
-        let away = told.is_none_or(|t| t.draining || t.left || image.emptied.contains(&t.area));
+        let leaves = told.as_ref().is_none_or(|t| t.draining || t.left);
+        let away = leaves || told.is_some_and(|t| image.emptied.contains(&t.area));
         let wish = st.wish.clone().filter(|w| *w != st.server && g.servers.contains(w));
         if away || wish.is_some() {
-            self.hand_over(g, image, &st.server, wish).await;
+            self.hand_over(g, image, &st.server, wish, leaves).await;
             return;
         }
         let leads = prim.as_ref().map_or(st.proven, |p| p.name == st.server);
@@ -451,8 +452,9 @@
     }
 
     /// Hands over from a leader that answers: the others but the next are kept from receiving, so that a commit is
-    /// confirmed only once the next one has it; the old one serves on until the next leads.
-    async fn hand_over(&self, g: &Group, image: &Image, from: &str, wish: Option<String>) {
+    /// confirmed only once the next one has it; the old one serves on until the next leads. Where the old one `leaves`,
+    /// another may be coming in its place that receives already and has not made itself known.
+    async fn hand_over(&self, g: &Group, image: &Image, from: &str, wish: Option<String>, leaves: bool) {
         let rows = self.sighted(g, image, self.env.now().saturating_sub(self.bounds.missed()));
         let next = rows
             .iter()
@@ -463,7 +465,7 @@
         let line = self.newest(g) + 1;
         let others: Vec<String> = g.servers.iter().filter(|s| *s != from && **s != name).cloned().collect();
         self.log(Part::Elect, format!("{from} is to hand {} over to {name}", g.name));
-        if !self.list_stands(g) {
+        if (leaves && !self.disabled.any_list) || !self.list_stands(g) {
             // One that is not listed could confirm; the old leader's own log holds all.
             return self.hand_down(g, from, &name, line).await;
         }
--- a/kit/tests/elections.rs
+++ b/kit/tests/elections.rs
@@ -89,6 +89,31 @@
     hall
 }
 
+/// The leader is to end, and the server that comes in its place receives before its first heartbeat: it confirms alone
+/// while the one that is to lead next receives nothing.
+fn replacement_of_a_leaving_leader(seed: u64, build: HallBuild) -> Rc<Hall> {
+    let hall = Hall::new(seed, build);
+    hall.settle();
+    hall.play_at_once(
+        "at   s00   s01    s02
+         1    .     drain  .
+         5    .     quit   .
+         6    .     silent .
+         25   .     start  .
+         25.5 drain .      .
+         25.5 .     .      deaf
+         30   .     .      hear
+         36   .     tell   .
+         40   .     .      .",
+    );
+    hall
+}
+
+#[test]
+fn a_server_that_comes_in_place_of_a_leaving_leader_keeps_its_commit() {
+    guarded(replacement_of_a_leaving_leader);
+}
+
 #[test]
 fn a_server_whose_heartbeats_are_late_keeps_its_commit() {
     guarded(late_heartbeats);
