--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -146,11 +146,10 @@
             return;
         }
         let told = self.servers.borrow().get(&st.server).cloned();
-        let leaves = told.as_ref().is_none_or(|t| t.draining || t.left);
-        let away = leaves || told.is_some_and(|t| image.emptied.contains(&t.area));
+        let away = told.is_none_or(|t| t.draining || t.left || image.emptied.contains(&t.area));
         let wish = st.wish.clone().filter(|w| *w != st.server && g.servers.contains(w));
         if away || wish.is_some() {
-            self.hand_over(g, image, &st.server, wish, leaves).await;
+            self.hand_over(g, image, &st.server, wish).await;
             return;
         }
         let leads = prim.as_ref().map_or(st.proven, |p| p.name == st.server);
@@ -452,9 +451,9 @@
     }
 
     /// Hands over from a leader that answers: the others but the next are kept from receiving, so that a commit is
-    /// confirmed only once the next one has it; the old one serves on until the next leads. Where the old one `leaves`,
-    /// another may be coming in its place that receives already and has not made itself known.
-    async fn hand_over(&self, g: &Group, image: &Image, from: &str, wish: Option<String>, leaves: bool) {
+    /// confirmed only once the next one has it; the old one serves on until the next leads. That rests on the list of
+    /// servers, and one may be coming that receives already and has not made itself known: only tests go that way.
+    async fn hand_over(&self, g: &Group, image: &Image, from: &str, wish: Option<String>) {
         let rows = self.sighted(g, image, self.env.now().saturating_sub(self.bounds.missed()));
         let next = rows
             .iter()
@@ -465,7 +464,7 @@
         let line = self.newest(g) + 1;
         let others: Vec<String> = g.servers.iter().filter(|s| *s != from && **s != name).cloned().collect();
         self.log(Part::Elect, format!("{from} is to hand {} over to {name}", g.name));
-        if (leaves && !self.disabled.any_list) || !self.list_stands(g) {
+        if !self.disabled.any_list {
             // One that is not listed could confirm; the old leader's own log holds all.
             return self.hand_down(g, from, &name, line).await;
         }
