--- a/hub/src/consensus/core.rs
+++ b/hub/src/consensus/core.rs
@@ -96,6 +96,8 @@
     pub(super) leader: String,
     /// Until when this node votes for nobody but the leader it follows.
     pub(super) hold_until: Duration,
+    /// When a heartbeat of the leader that this node follows was last taken in.
+    pub(super) leader_heard: Duration,
     /// Until when this node does not ask to lead, as it handed leadership over.
     pub(super) campaign_after: Duration,
     pub(super) leading_since: Duration,
@@ -135,6 +137,7 @@
             role: Role::Follower,
             leader: String::new(),
             hold_until: now + timing.hold,
+            leader_heard: now,
             campaign_after: Duration::ZERO,
             leading_since: Duration::ZERO,
             leaving: false,
--- a/hub/src/consensus/election.rs
+++ b/hub/src/consensus/election.rs
@@ -27,6 +27,8 @@
         if transfer {
             self.stand(transfer);
         } else {
+            let silent = clock.now.saturating_sub(self.leader_heard).as_millis();
+            self.log(format!("asks for votes: nothing of {:?} for {silent} ms", self.leader));
             self.request_votes(clock, true, false);
         }
     }
--- a/hub/src/consensus/replication.rs
+++ b/hub/src/consensus/replication.rs
@@ -88,6 +88,7 @@
         if heartbeat.term > term || self.role != Role::Follower || self.leader != from {
             self.follow(from);
         }
+        self.leader_heard = clock.now;
         let version = Version { term: heartbeat.version_term, index: heartbeat.version_index };
         let newer = version > self.version() || self.durable.rescued;
         let image = heartbeat.image.filter(|_| newer);
--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -443,7 +443,7 @@
         servers.len() != before
     }
 
-    fn log(&self, part: Part, text: impl AsRef<str>) {
+    pub(crate) fn log(&self, part: Part, text: impl AsRef<str>) {
         self.env.log(part, text);
     }
 }
--- a/hub/src/operator/mod.rs
+++ b/hub/src/operator/mod.rs
@@ -17,6 +17,7 @@
         refuse,
     },
     http::Return,
+    seam::Part,
     strict,
 };
 use bytes::Bytes;
@@ -82,6 +83,8 @@
 
     async fn on_readback(&self) -> Done {
         let image = self.consensus.confirm().await.map_err(|k| refuse(k, "", None))?;
+        let (term, _) = self.consensus.term();
+        self.log(Part::Agree, format!("configuration {} is read in term {term}", image.number));
         let limits = image.limits.unwrap_or_default();
         let out = Readback {
             sequence: image.sequence,
--- a/hub/src/operator/order.rs
+++ b/hub/src/operator/order.rs
@@ -9,6 +9,7 @@
         refuse,
     },
     http::Return,
+    seam::Part,
 };
 use wire::Image;
 
@@ -44,6 +45,8 @@
             .await;
         match out {
             Ok(image) => {
+                let (term, _) = self.consensus.term();
+                self.log(Part::Agree, format!("configuration {} is committed in term {term}", image.number));
                 // News goes out before the operator hears of it, so that no later beat is confirmed without it.
                 self.publish();
                 Ok(answer(&image))
