--- a/base/src/http/server.rs
+++ b/base/src/http/server.rs
@@ -43,6 +43,10 @@
     pub closing: Rc<Cell<bool>>,
     /// Whether idle connections end too.
     pub ending: Rc<Cell<bool>>,
+    /// Whether sessions end even within a transaction.
+    pub expiring: Rc<Cell<bool>>,
+    /// Whether statements that still run are given up on.
+    pub giving_up: Rc<Cell<bool>>,
     /// Whether it is about to close, so that no new callers should be sent here.
     pub leaving: Rc<Cell<bool>>,
     /// How many connections are open.
@@ -62,6 +66,8 @@
             bell: Bell::default(),
             closing: Rc::default(),
             ending: Rc::default(),
+            expiring: Rc::default(),
+            giving_up: Rc::default(),
             leaving: Rc::default(),
             open: Rc::default(),
             most,
@@ -82,6 +88,18 @@
         self.ending.set(true);
         self.bell.ring();
     }
+
+    /// Ends sessions within a transaction too, as soon as nothing of it is being run.
+    pub fn expire(&self) {
+        self.expiring.set(true);
+        self.end();
+    }
+
+    /// Gives up on whatever still runs: it is answered now, and its connection ends.
+    pub fn give_up(&self) {
+        self.giving_up.set(true);
+        self.expire();
+    }
 }
 
 /// How many connections over the bound are still told so.
--- a/spoke/src/on_platform.rs
+++ b/spoke/src/on_platform.rs
@@ -73,16 +73,26 @@
     }
 
     /// Says that no new callers are wanted, serves on until that is known, then lets each session go once nothing of it
-    /// is open; open transactions have the first half of the grace.
+    /// is open. Open transactions have the first half of the grace. What still runs towards its end is given up on, and
+    /// told so.
     pub async fn leave(&self) {
+        let start = self.env.now();
         self.door.leaving.set(true);
         self.env.sleep(self.grace * 5 / 12).await;
         self.door.end();
-        let end = self.env.now() + self.grace * 5 / 12;
+        self.until_closed(start + self.grace / 2).await;
+        self.door.expire();
+        self.until_closed(start + self.grace * 10 / 12).await;
+        self.door.give_up();
+        self.until_closed(self.env.now() + self.grace / 24).await;
+        self.env.log(Part::Main, format!("{} sessions left open at the end", self.door.open.get()));
+        self.spoke.hand_back().await;
+    }
+
+    /// Waits until no session is open, or until this moment.
+    async fn until_closed(&self, end: Duration) {
         while self.door.open.get() > 0 && self.env.now() < end {
             self.env.sleep(self.grace / 120).await;
         }
-        self.env.log(Part::Main, format!("{} sessions left open at the end", self.door.open.get()));
-        self.spoke.hand_back().await;
     }
 }
