Heartbeats never wait for payload; the image goes as a change of what the other side holds

Change: heartbeats carry nothing and go between the pieces of large frames, which are compressed; the image follows once the other side told what it holds, as a change wherever the leader remembers that image; a new leader's first image, equal to the one before, costs some bytes. The image is shared, not copied, on its way through the consensus core.

--- a/hub/src/consensus/core.rs
+++ b/hub/src/consensus/core.rs
@@ -9,6 +9,7 @@
 use wire::{Image, Member};
 
 use super::{
+    images::{RecentImages, SentImage},
     quorum,
     types::{Clock, Effect, Guards, Identity, InheritedLeases, Input, Message, Outcome, PeerHello, Ticket, Timing},
 };
@@ -37,23 +38,19 @@
     pub connected: bool,
     /// It said that it is about to end.
     pub leaving: bool,
-    /// The newest image that it acknowledged to this leader.
-    pub version: Version,
+    /// It takes changes of the image in place of whole ones.
+    pub takes_deltas: bool,
+    /// The newest image that it acknowledged to this leader; unknown before its first answer.
+    pub version: Option<Version>,
     /// When the newest heartbeat was sent that it acknowledged to this leader.
     pub last_ack: Option<Duration>,
-    /// The newest image that was sent to it, and when; an answer to it may be under way.
-    pub image_sent: Option<(Version, Duration)>,
+    /// The newest image that was sent to it.
+    pub image_sent: Option<SentImage>,
     /// When the newest heartbeats were sent, by nonce.
     pub sent: VecDeque<(u64, Duration)>,
 }
 
 impl Peer {
-    /// Whether it is to be sent this image now: it lacks it, and was not sent it lately.
-    pub(super) fn wants_image(&self, version: Version, now: Duration, patience: Duration) -> bool {
-        let under_way = self.image_sent.is_some_and(|(sent, at)| sent == version && now < at + patience);
-        self.version != version && !under_way
-    }
-
     pub(super) fn note_sent(&mut self, nonce: u64, now: Duration) {
         self.sent.push_back((nonce, now));
         if self.sent.len() > HEARTBEATS_IN_FLIGHT {
@@ -107,6 +104,8 @@
     /// The newest term that any answer told of. A candidate asks in a newer one: in an older term, a node that already
     /// voted for another could neither vote nor be elected.
     pub(super) newest_term_heard: u64,
+    /// The images that changes are told of.
+    pub(super) recent: RecentImages,
     /// Images of this term that do not lie on a quorum of disks yet, by index.
     pub(super) uncommitted: BTreeMap<u64, Rc<Image>>,
     /// The newest image of this term that lies on a quorum of disks, and its index.
@@ -128,7 +127,7 @@
         guards: Guards,
         now: Duration,
     ) -> Self {
-        Self {
+        let mut core = Self {
             identity,
             timing,
             guards,
@@ -144,13 +143,16 @@
             peers: BTreeMap::new(),
             nonce: 0,
             newest_term_heard: 0,
+            recent: RecentImages::default(),
             uncommitted: BTreeMap::new(),
             committed: None,
             waiting: Vec::new(),
             inherited: None,
             pending: None,
             effects: Vec::new(),
-        }
+        };
+        core.note_image();
+        core
     }
 
     /// Takes one input. A state that is returned must be synced before anything else, and [`Core::saved`] told.
@@ -173,6 +175,7 @@
         let (state, then) = self.pending.take()?;
         if synced {
             self.durable = state;
+            self.note_image();
         }
         match then {
             AfterSave::GrantVote { nonce } => self.vote_saved(clock, nonce, synced),
@@ -191,6 +194,13 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Remembers the newest image, so that changes of it can be told.
+    fn note_image(&mut self) {
+        if let Some(image) = &self.durable.image {
+            self.recent.note(self.durable.version(), image);
+        }
+    }
+
     fn to_save(&self) -> Option<Rc<DurableState>> {
         self.pending.as_ref().map(|p| p.0.clone())
     }
@@ -223,12 +233,13 @@
             incarnation: hello.incarnation,
             empty: hello.empty,
             rescued: hello.rescued,
+            takes_deltas: hello.takes_deltas,
             may_form: hello.may_form,
             address: hello.address,
             zone: hello.zone,
             connected: true,
             leaving: false,
-            version: Version::default(),
+            version: None,
             last_ack: peer.last_ack,
             image_sent: None,
             sent: VecDeque::new(),
--- a/hub/src/consensus/election.rs
+++ b/hub/src/consensus/election.rs
@@ -164,7 +164,7 @@
         self.uncommitted.clear();
         for peer in self.peers.values_mut() {
             peer.last_ack = None;
-            peer.version = Version::default();
+            peer.version = None;
             peer.image_sent = None;
             peer.sent.clear();
         }
@@ -178,7 +178,7 @@
     pub(super) fn transfer_leadership(&mut self, clock: Clock) {
         let (term, version) = (self.durable.term, self.version());
         let level = |(name, peer): &(&String, &super::core::Peer)| {
-            peer.connected && !peer.leaving && peer.version == version && self.counts(name, peer.incarnation)
+            peer.connected && !peer.leaving && peer.version == Some(version) && self.counts(name, peer.incarnation)
         };
         let successor = self.peers.iter().find(level).map(|(name, _)| name.clone());
         self.follow("");
--- a/hub/src/consensus/formation.rs
+++ b/hub/src/consensus/formation.rs
@@ -1,5 +1,7 @@
 //! How the first image comes to be.
 
+use std::rc::Rc;
+
 use wire::{Image, Limits, Member};
 
 use super::core::{AfterSave, Core, Peer};
@@ -37,14 +39,15 @@
         let own = &self.identity;
         members.push(member(&own.name, self.durable.incarnation, &own.address.to_string(), &own.zone));
         // From nothing, or from the image that an operator took from the last disk.
-        let before = self.durable.image.clone().unwrap_or(Image { limits: Some(FIRST_LIMITS), ..Image::default() });
+        let before = self.durable.image.as_deref().cloned();
+        let before = before.unwrap_or_else(|| Image { limits: Some(FIRST_LIMITS), ..Image::default() });
         let image = Image { members, outgoing_members: Vec::new(), ..before };
         let next = DurableState {
             term: self.durable.term + 1,
             voted_for: self.identity.name.clone(),
             version_term: self.durable.term + 1,
             version_index: self.durable.version_index + 1,
-            image: Some(image),
+            image: Some(Rc::new(image)),
             rescued: false,
             ..DurableState::clone(&self.durable)
         };
--- a/hub/src/consensus/links.rs
+++ b/hub/src/consensus/links.rs
@@ -91,6 +91,7 @@
             peer: self.identity.address.to_string(),
             boot: self.boot,
             rule: self.bounds.sum(),
+            pieces: true,
             ..Hello::default()
         };
         self.hello(&mut hello);
@@ -112,6 +113,7 @@
             empty: hello.empty,
             rescued: hello.rescued,
             may_form: hello.may_form,
+            takes_deltas: hello.pieces,
         };
         self.queue(Input::Connected(hello), None);
         loop {
--- a/hub/src/consensus/membership.rs
+++ b/hub/src/consensus/membership.rs
@@ -5,7 +5,7 @@
 //! two images: the first names the new members and keeps the old ones as outgoing, and until it is over each quorum
 //! needs a majority of both; the second drops the outgoing ones. docs/control-state.md tells which losses each step bears.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use wire::{Image, Member};
 
@@ -21,7 +21,7 @@
     /// Writes the next change of the membership, if one is due; tells whether it did.
     pub(super) fn change_membership(&mut self, now: Duration) -> bool {
         let settled = self.committed.as_ref().is_some_and(|c| c.0 == self.durable.version_index);
-        let Some(image) = self.durable.image.as_ref().filter(|_| settled && !self.leaving) else { return false };
+        let Some(image) = self.durable.image.as_deref().filter(|_| settled && !self.leaving) else { return false };
         let mut next = Image::clone(image);
         if !image.outgoing_members.is_empty() {
             next.outgoing_members.clear();
@@ -33,7 +33,7 @@
             }
             self.log(change.reason);
         }
-        let next = self.next_version(next);
+        let next = self.next_version(Rc::new(next));
         self.save(next, AfterSave::Replicate);
         true
     }
@@ -52,7 +52,11 @@
     fn learners(&self, image: &Image) -> Vec<Member> {
         let version = self.version();
         let level = |name: &str, p: &Peer| {
-            p.connected && !p.leaving && p.incarnation != 0 && p.version == version && !self.counts(name, p.incarnation)
+            p.connected
+                && !p.leaving
+                && p.incarnation != 0
+                && p.version == Some(version)
+                && !self.counts(name, p.incarnation)
         };
         let mut all: Vec<Member> =
             self.peers.iter().filter(|(n, p)| level(n, p)).map(|(n, p)| member_of(n, p)).collect();
--- a/hub/src/consensus/mod.rs
+++ b/hub/src/consensus/mod.rs
@@ -7,6 +7,7 @@
 mod core;
 mod election;
 mod formation;
+mod images;
 mod links;
 mod membership;
 mod quorum;
--- a/hub/src/consensus/replication.rs
+++ b/hub/src/consensus/replication.rs
@@ -13,7 +13,7 @@
 
 impl Core {
     /// The state with the next image of this term.
-    pub(super) fn next_version(&self, image: Image) -> DurableState {
+    pub(super) fn next_version(&self, image: Rc<Image>) -> DurableState {
         let mut next = DurableState::clone(&self.durable);
         next.version_term = next.term;
         next.version_index += 1;
@@ -24,7 +24,7 @@
     /// Notes the newest image as one that is to be committed.
     pub(super) fn note_uncommitted(&mut self) {
         if let Some(image) = &self.durable.image {
-            self.uncommitted.insert(self.durable.version_index, Rc::new(image.clone()));
+            self.uncommitted.insert(self.durable.version_index, image.clone());
         }
     }
 
@@ -45,39 +45,31 @@
         self.advance_commit(clock);
     }
 
-    /// Sends a heartbeat to each connected control node, with the image where it is missing.
+    /// Sends a heartbeat to each connected control node, and beside it the image to whoever lacks it.
     pub(super) fn send_heartbeats(&mut self, clock: Clock) {
         let nonce = self.next_nonce();
         let version = self.version();
-        let committed = self.committed.as_ref().map_or(0, |c| c.0);
-        // Sent again only once an answer is overdue: many large images at once would hold heartbeats up.
-        let patience = self.timing.hold;
-        let mut out = Vec::new();
+        let heartbeat = Heartbeat {
+            term: self.durable.term,
+            nonce,
+            version_term: version.term,
+            version_index: version.index,
+            committed: self.committed.as_ref().map_or(0, |c| c.0),
+            ..Heartbeat::default()
+        };
+        let mut connected = Vec::new();
         for (name, peer) in self.peers.iter_mut().filter(|p| p.1.connected) {
             peer.note_sent(nonce, clock.now);
-            let wants_image = peer.wants_image(version, clock.now, patience);
-            let image = self.durable.image.as_ref().filter(|_| wants_image).cloned();
-            if wants_image {
-                peer.image_sent = Some((version, clock.now));
-            }
-            let heartbeat = Heartbeat {
-                term: self.durable.term,
-                nonce,
-                version_term: version.term,
-                version_index: version.index,
-                image,
-                committed,
-                ..Heartbeat::default()
-            };
-            out.push((name.clone(), heartbeat));
+            connected.push(name.clone());
         }
-        for (to, heartbeat) in out {
-            self.effect(Effect::Send { to, message: Message::Heartbeat(Box::new(heartbeat)) });
+        for to in connected {
+            self.effect(Effect::Send { to, message: Message::Heartbeat(Box::new(heartbeat.clone())) });
         }
+        self.send_images(clock);
     }
 
     /// Follows the sender, if its term is not older, and syncs what it brought.
-    pub(super) fn on_heartbeat(&mut self, clock: Clock, from: &str, heartbeat: Heartbeat) {
+    pub(super) fn on_heartbeat(&mut self, clock: Clock, from: &str, mut heartbeat: Heartbeat) {
         let term = self.durable.term;
         if heartbeat.transfer {
             return self.on_transfer(clock, from, heartbeat);
@@ -89,9 +81,7 @@
             self.follow(from);
         }
         self.leader_heard = clock.now;
-        let version = Version { term: heartbeat.version_term, index: heartbeat.version_index };
-        let newer = version > self.version() || self.durable.rescued;
-        let image = heartbeat.image.filter(|_| newer);
+        let image = self.image_brought(&mut heartbeat);
         if heartbeat.term == term && image.is_none() {
             self.renew_hold(clock);
             return self.acknowledge(heartbeat.nonce, true);
@@ -102,8 +92,8 @@
             next.voted_for.clear();
         }
         if image.is_some() {
-            next.version_term = version.term;
-            next.version_index = version.index;
+            next.version_term = heartbeat.version_term;
+            next.version_index = heartbeat.version_index;
             next.image = image;
             next.rescued = false;
         }
@@ -160,8 +150,13 @@
         let sent = peer.sent.iter().find(|s| s.0 == ack.nonce).map(|s| s.1);
         if let (true, Some(sent)) = (ack.accepted, sent) {
             let version = Version { term: ack.version_term, index: ack.version_index };
-            peer.version = peer.version.max(version);
+            peer.version = peer.version.max(Some(version));
             peer.last_ack = peer.last_ack.max(Some(sent));
+            // The answer to an image tells whether it was taken in; one that did not fit is sent again, whole if need be.
+            if peer.image_sent.is_some_and(|sent| sent.nonce == ack.nonce || Some(sent.version) <= peer.version) {
+                peer.image_sent = None;
+            }
+            self.send_image(clock, from);
         }
         self.advance_commit(clock);
         self.effect(Effect::Changed);
@@ -189,7 +184,7 @@
         let Some(image) = &self.durable.image else { return false };
         let version = Version { term: self.durable.term, index };
         quorum::has_quorum(image, |m| {
-            self.member_passes(m, true, |p| p.version.term == version.term && p.version >= version)
+            self.member_passes(m, true, |p| p.version.is_some_and(|held| held.term == version.term && held >= version))
         })
     }
 
@@ -223,7 +218,7 @@
         let Some(image) = &self.durable.image else { return self.resolve(ticket, Outcome::Unavailable) };
         match change(image) {
             Some(next) => {
-                let next = self.next_version(next);
+                let next = self.next_version(Rc::new(next));
                 self.save(next, AfterSave::AwaitCommit { ticket });
             }
             None => self.await_confirmation(clock, ticket),
--- a/hub/src/consensus/types.rs
+++ b/hub/src/consensus/types.rs
@@ -25,6 +25,8 @@
     pub hold: Duration,
     /// For how long a leader may act on an acknowledged heartbeat, from when it was sent; shorter than `hold`.
     pub lease: Duration,
+    /// How long an image may be under way to another control node before it is sent again.
+    pub image_patience: Duration,
     /// How long a leader goes on asking for a quorum before it steps down.
     pub quorum_patience: Duration,
     /// How long a member may be unheard before another control node takes its place.
@@ -38,6 +40,7 @@
             heartbeat: bounds.pulse(),
             hold: bounds.hold(),
             lease: bounds.lead(),
+            image_patience: bounds.hold() * 2,
             quorum_patience: bounds.hold() * 3 / 2,
             replace_after: bounds.gone(),
         }
@@ -82,6 +85,8 @@
     pub empty: bool,
     /// It may form anew from an image that an operator took.
     pub rescued: bool,
+    /// It takes changes of the image in place of whole ones.
+    pub takes_deltas: bool,
     /// Its disk was first used at the first start of the whole system.
     pub may_form: bool,
 }
--- a/hub/src/store/mod.rs
+++ b/hub/src/store/mod.rs
@@ -5,7 +5,7 @@
 use std::{io, rc::Rc};
 
 use base::seam::{Disk, Env, Part};
-use wire::{Image, Message};
+use wire::Image;
 
 pub use record::{FORMAT, HEAD, decode, encode};
 
@@ -20,31 +20,24 @@
 }
 
 /// All that a control node's votes and acknowledgements rest on.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct DurableState {
     /// The newest term this node has voted in or followed a leader of.
-    #[prost(uint64, tag = "1")]
     pub term: u64,
     /// Whom this node voted for in the term; empty for nobody.
-    #[prost(string, tag = "2")]
     pub voted_for: String,
     /// The term in which the image was written.
-    #[prost(uint64, tag = "3")]
     pub version_term: u64,
     /// Counts the images written, over all terms.
-    #[prost(uint64, tag = "4")]
     pub version_index: u64,
-    #[prost(message, optional, tag = "5")]
-    pub image: Option<Image>,
+    /// Shared with whoever reads or sends it; a change makes a new one.
+    pub image: Option<Rc<Image>>,
     /// A random number of this disk, drawn when it was empty.
-    #[prost(uint64, tag = "6")]
     pub incarnation: u64,
     /// An operator took this image knowingly, as the other disks are lost: the system may form anew from it.
-    #[prost(bool, tag = "7")]
     pub rescued: bool,
     /// The control nodes that were named at the first start of the whole system, if this disk was there: only they, this
     /// node among them, form the first image.
-    #[prost(string, repeated, tag = "8")]
     pub formation_seeds: Vec<String>,
 }
 
@@ -174,8 +167,8 @@
 
     /// Syncs what is to be remembered; only then may it be acted on.
     pub async fn save(&mut self, state: &DurableState) -> io::Result<()> {
-        let full = self.log_at + (state.encoded_len() + HEAD) as u64 > self.most;
-        let full = full || self.stale || self.turn == 0;
+        let record = encode(self.turn, state);
+        let full = self.log_at + record.len() as u64 > self.most || self.stale || self.turn == 0;
         if full {
             let turn = self.turn + 1;
             if self.stale {
@@ -188,7 +181,7 @@
             // The log opens with the slot's content, so that a slot lost later is noticed and made good.
             self.log_at = 0;
         }
-        let record = encode(self.turn, state);
+        let record = if full { encode(self.turn, state) } else { record };
         let size = record.len() as u64;
         match self.disk.append(LOG, self.log_at, record).await {
             Ok(()) => self.log_at += size,
--- a/hub/src/store/record.rs
+++ b/hub/src/store/record.rs
@@ -1,7 +1,62 @@
-use wire::Message;
+//! The form of a state on the disk, with a checksum.
+
+use std::rc::Rc;
+
+use prost::Message;
+use wire::Image;
 
 use super::DurableState;
 
+/// A state as it is written. The image is a message of its own, written from where it is shared.
+#[derive(Clone, PartialEq, Message)]
+struct StoredState {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(string, tag = "2")]
+    voted_for: String,
+    #[prost(uint64, tag = "3")]
+    version_term: u64,
+    #[prost(uint64, tag = "4")]
+    version_index: u64,
+    #[prost(bytes = "vec", optional, tag = "5")]
+    image: Option<Vec<u8>>,
+    #[prost(uint64, tag = "6")]
+    incarnation: u64,
+    #[prost(bool, tag = "7")]
+    rescued: bool,
+    #[prost(string, repeated, tag = "8")]
+    formation_seeds: Vec<String>,
+}
+
+impl StoredState {
+    fn of(state: &DurableState) -> Self {
+        Self {
+            term: state.term,
+            voted_for: state.voted_for.clone(),
+            version_term: state.version_term,
+            version_index: state.version_index,
+            image: state.image.as_ref().map(|image| image.encode_to_vec()),
+            incarnation: state.incarnation,
+            rescued: state.rescued,
+            formation_seeds: state.formation_seeds.clone(),
+        }
+    }
+
+    fn read(self) -> Result<DurableState, prost::DecodeError> {
+        let image = self.image.map(|data| Image::decode(&data[..])).transpose()?;
+        Ok(DurableState {
+            term: self.term,
+            voted_for: self.voted_for,
+            version_term: self.version_term,
+            version_index: self.version_index,
+            image: image.map(Rc::new),
+            incarnation: self.incarnation,
+            rescued: self.rescued,
+            formation_seeds: self.formation_seeds,
+        })
+    }
+}
+
 /// The disk format this program writes.
 pub const FORMAT: u32 = 1;
 const MARK: [u8; 4] = *b"pspk";
@@ -10,7 +65,7 @@
 
 /// Writes one record: mark, format, turn, size, checksum, data.
 pub fn encode(turn: u64, state: &DurableState) -> Vec<u8> {
-    let data = state.encode_to_vec();
+    let data = StoredState::of(state).encode_to_vec();
     let mut out = Vec::with_capacity(HEAD + data.len());
     out.extend_from_slice(&MARK);
     out.extend_from_slice(&FORMAT.to_le_bytes());
@@ -46,7 +101,7 @@
     if format > FORMAT {
         return Err(format);
     }
-    match DurableState::decode(&buf[HEAD..HEAD + size]) {
+    match StoredState::decode(&buf[HEAD..HEAD + size]).and_then(StoredState::read) {
         Ok(state) => Ok(Some((word(buf, 8), state, HEAD + size))),
         Err(_) => Ok(None),
     }
--- a/hub/tests/model/world.rs
+++ b/hub/tests/model/world.rs
@@ -151,6 +151,7 @@
             empty: node.disk.empty(),
             rescued: node.disk.rescued,
             may_form: node.disk.may_form(),
+            takes_deltas: true,
         }
     }
 
@@ -253,7 +254,8 @@
 
     fn send(&mut self, from: usize, to: Option<usize>, message: Message) {
         let Some(to) = to.filter(|to| self.nodes[*to].core.is_some()) else { return };
-        self.images_sent += usize::from(matches!(&message, Message::Heartbeat(h) if h.image.is_some()));
+        self.images_sent +=
+            usize::from(matches!(&message, Message::Heartbeat(h) if h.image.is_some() || h.delta.is_some()));
         let lives = (self.nodes[from].life, self.nodes[to].life);
         self.messages.push(Envelope { from, to, message, lives });
     }
@@ -413,7 +415,7 @@
     /// The machines that the newest image on any disk names as members.
     pub fn member_indices(&self) -> Vec<usize> {
         let newest = self.nodes.iter().max_by_key(|n| n.disk.version()).and_then(|n| n.disk.image.clone());
-        let members = newest.map(|i| i.members).unwrap_or_default();
+        let members = newest.map(|i| i.members.clone()).unwrap_or_default();
         (0..self.nodes.len()).filter(|i| members.iter().any(|m| m.name == self.nodes[*i].name)).collect()
     }
 
@@ -426,7 +428,7 @@
     /// The orders that the newest image on any disk holds.
     pub fn newest_history(&self) -> Vec<u32> {
         let newest = self.nodes.iter().max_by_key(|n| n.disk.version());
-        newest.and_then(|n| n.disk.image.as_ref()).map(history).unwrap_or_default()
+        newest.and_then(|n| n.disk.image.as_deref()).map(history).unwrap_or_default()
     }
 
     /// Runs on until a leader has every machine level.
--- a/wire/src/consensus.rs
+++ b/wire/src/consensus.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-use crate::{Image, OutLead};
+use crate::{Image, ImageDelta, OutLead};
 
 /// A control node asks for a vote.
 #[derive(Clone, PartialEq, Message)]
@@ -46,7 +46,7 @@
     pub nonce: u64,
 }
 
-/// The leader's heartbeat, with the image where the other side lacks it.
+/// The leader's heartbeat. One that brings the image, or a change of it, goes beside those that bring nothing.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
     #[prost(uint64, tag = "1")]
@@ -70,6 +70,15 @@
     /// With `transfer`: the leases on groups' primaries that may still stand.
     #[prost(message, repeated, tag = "9")]
     pub leases: Vec<OutLead>,
+    /// In place of `image`: what leads to it from an image that the receiver holds, or will have synced by then.
+    #[prost(message, optional, tag = "10")]
+    pub delta: Option<ImageDelta>,
+    /// The term of the image that `delta` builds on.
+    #[prost(uint64, tag = "11")]
+    pub base_term: u64,
+    /// The index of the image that `delta` builds on.
+    #[prost(uint64, tag = "12")]
+    pub base_index: u64,
 }
 
 /// The answer to a [`Heartbeat`].
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -5,7 +5,7 @@
 /// One frame of a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -37,6 +37,18 @@
     NewsDelta(NewsDelta),
     #[prost(message, tag = "13")]
     NewsRequest(NewsRequest),
+    #[prost(message, tag = "14")]
+    Piece(Piece),
+}
+
+/// A piece of a large frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct Piece {
+    #[prost(bytes = "vec", tag = "1")]
+    pub data: Vec<u8>,
+    /// On the last piece: the size of the whole frame once it is unpacked.
+    #[prost(uint32, tag = "2")]
+    pub frame_size: u32,
 }
 
 /// The first frame of a link: who speaks.
@@ -71,6 +83,10 @@
     /// On control nodes: the disk was first used at the first start of the whole system.
     #[prost(bool, tag = "11")]
     pub may_form: bool,
+    /// Whether it takes large frames in pieces, and changes of the image in place of whole ones; builds that do not tell
+    /// get whole ones.
+    #[prost(bool, tag = "12")]
+    pub pieces: bool,
 }
 
 /// What a node says up the tree to the leading hub.
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -233,6 +233,7 @@
             boot: self.who.boot,
             rule: self.bounds.borrow().sum(),
             deltas: true,
+            pieces: true,
             ..Hello::default()
         };
         self.head().hello(&mut hello);
