The duty of naming primaries rests for three seconds when it goes from one well control node to another

Change: while a control node that led before is alive and follows, nothing is named in the first three seconds of a term; where it is lost, nothing waits.

--- a/hub/src/consensus/core.rs
+++ b/hub/src/consensus/core.rs
@@ -95,6 +95,8 @@
     pub(super) hold_until: Duration,
     /// When a heartbeat of the leader that this node follows was last taken in.
     pub(super) leader_heard: Duration,
+    /// The other control nodes that this node followed.
+    pub(super) followed: BTreeSet<String>,
     /// Until when this node does not ask to lead, as it handed leadership over.
     pub(super) campaign_after: Duration,
     pub(super) leading_since: Duration,
@@ -137,6 +139,7 @@
             leader: String::new(),
             hold_until: now + timing.hold,
             leader_heard: now,
+            followed: BTreeSet::new(),
             campaign_after: Duration::ZERO,
             leading_since: Duration::ZERO,
             leaving: false,
@@ -410,6 +413,12 @@
         self.inherited.as_ref().filter(|i| i.term + 1 == self.durable.term)
     }
 
+    /// Whether a control node that led before is alive and follows this leader.
+    pub fn earlier_leader_alive(&self) -> bool {
+        let alive = |name: &String| self.peers.get(name).is_some_and(|p| p.connected && p.last_ack.is_some());
+        self.followed.iter().any(alive)
+    }
+
     /// Whether this node was told to leave and nothing more can be handed over.
     pub fn may_end(&self) -> bool {
         self.leaving && !self.awaits_replacement()
--- a/hub/src/consensus/replication.rs
+++ b/hub/src/consensus/replication.rs
@@ -81,6 +81,9 @@
             self.follow(from);
         }
         self.leader_heard = clock.now;
+        if !self.followed.contains(from) {
+            self.followed.insert(from.into());
+        }
         let image = self.image_brought(&mut heartbeat);
         if heartbeat.term == term && image.is_none() {
             self.renew_hold(clock);
--- a/hub/src/consensus/service.rs
+++ b/hub/src/consensus/service.rs
@@ -223,6 +223,11 @@
         self.core.borrow().term()
     }
 
+    /// Whether a control node that led before is alive and follows this leader.
+    pub fn earlier_leader_alive(&self) -> bool {
+        self.core.borrow().earlier_leader_alive()
+    }
+
     /// The newest image known to lie on a quorum of disks; only while leading.
     pub fn image(&self) -> Option<Rc<Image>> {
         self.core.borrow().committed_image()
--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -15,6 +15,10 @@
 /// How many bits of a fencing token count the namings within a term.
 const NAMING_BITS: u32 = 20;
 
+/// For how long the duty of naming primaries rests when it goes from one control node to another and both are well: the
+/// platform's users count on one holder in any span of this length.
+const DUTY_REST: Duration = Duration::from_secs(3);
+
 /// What a server that confirms showed lately.
 struct PrimarySight {
     name: String,
@@ -271,6 +275,7 @@
                 s.fenced = Some(now);
                 s.freed = true;
             }),
+            None if self.duty_rests() => {}
             None => {
                 let code = self.promote(g, &p.name).await;
                 if code == Some(200) {
@@ -285,6 +290,12 @@
         }
     }
 
+    /// Whether an earlier holder of the duty that is still well may have used it a moment ago.
+    fn duty_rests(&self) -> bool {
+        let (_, since) = self.consensus.term();
+        !self.disabled.no_duty_rest && self.env.now() < since + DUTY_REST && self.consensus.earlier_leader_alive()
+    }
+
     /// Gives an order to a server, to be carried out on this hub's connection to it.
     fn order(&self, server: &str, act: Act) {
         let mut all = self.talks.borrow_mut();
@@ -357,6 +368,9 @@
 
     /// Elects after the leader was lost: all others are kept from receiving and read, and the furthest is named.
     async fn fail_over(&self, g: &Group, lost: &str) {
+        if self.duty_rests() {
+            return;
+        }
         let others: Vec<String> = g.servers.iter().filter(|s| *s != lost).cloned().collect();
         let need = if lost.is_empty() { others.len().saturating_sub(1) } else { others.len() };
         if others.is_empty() || need == 0 {
@@ -454,6 +468,9 @@
     /// confirmed only once the next one has it; the old one serves on until the next leads. That rests on the list of
     /// servers, and one may be coming that receives already and has not made itself known: only tests go that way.
     async fn hand_over(&self, g: &Group, image: &Image, from: &str, wish: Option<String>) {
+        if self.duty_rests() {
+            return;
+        }
         let rows = self.sighted(g, image, self.env.now().saturating_sub(self.bounds.missed()));
         let next = rows
             .iter()
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -55,6 +55,8 @@
     pub any_list: bool,
     /// Name all servers of a term under one fence.
     pub one_fence: bool,
+    /// Name primaries at once though an earlier holder of that duty may have done so a moment ago.
+    pub no_duty_rest: bool,
     /// Give a cold server's whole cap at once.
     pub no_ramp: bool,
     /// Judge an order from the newest state at hand, before a majority confirmed it.
