--- a/base/src/seam/env.rs
+++ b/base/src/seam/env.rs
@@ -1,4 +1,12 @@
-use std::{future::Future, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    future::{Future, poll_fn},
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    task::Poll,
+    time::Duration,
+};
 
 use futures::{
     FutureExt,
@@ -51,6 +59,19 @@
         self.0.sleep(span).await
     }
 
+    /// Lets other tasks run first.
+    pub async fn yield_now(&self) {
+        let mut was_polled = false;
+        poll_fn(|cx| {
+            if std::mem::replace(&mut was_polled, true) {
+                return Poll::Ready(());
+            }
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        })
+        .await
+    }
+
     /// Starts a task; it ends with the returned job.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Job {
         let (hand, reg) = AbortHandle::new_pair();
--- a/hub/src/operator/mod.rs
+++ b/hub/src/operator/mod.rs
@@ -25,8 +25,8 @@
 
 use crate::leadership::Leadership;
 
-/// The largest operator body; a set may carry the operators' own form of each item beside it.
-const LARGEST_BODY: usize = 1 << 20;
+/// The largest operator body: the most doorways that a set may hold, each with the operators' own form of it beside it.
+const LARGEST_BODY: usize = 3 << 20;
 
 /// How many orders may be under way at the leading hub: eight times what one operator has under way.
 pub const MOST_ORDERS: usize = 64;
--- a/hub/src/operator/order.rs
+++ b/hub/src/operator/order.rs
@@ -66,7 +66,9 @@
 
     /// A change of doorways and groups. A leader that is to be taken out of its group hands over first.
     async fn adopt(&self, make: impl Fn(&Image) -> Result<Image, Return> + 'static) -> Done {
-        if let Some(old) = self.consensus.image()
+        // Servers that confirm make themselves known; no set takes any of them out.
+        let has_leavers = |image: &Image| image.groups.iter().any(|g| !g.confirms) || self.disabled.early_verdict;
+        if let Some(old) = self.consensus.image().filter(|old| has_leavers(old))
             && self.consensus.leads()
         {
             match make(&old) {
--- a/hub/src/store/mod.rs
+++ b/hub/src/store/mod.rs
@@ -12,6 +12,9 @@
 const SLOTS: [&str; 2] = ["slot-a", "slot-b"];
 const LOG: &str = "log";
 
+/// How many records the log holds at least, however large they are.
+const LARGE_RECORDS: u64 = 4;
+
 /// Where an image stands among all that were ever written: by the leader's term, then by its count within it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Version {
@@ -168,7 +171,9 @@
     /// Syncs what is to be remembered; only then may it be acted on.
     pub async fn save(&mut self, state: &DurableState) -> io::Result<()> {
         let record = encode(self.turn, state);
-        let full = self.log_at + record.len() as u64 > self.most || self.stale || self.turn == 0;
+        // A log of large states holds a few of them at least, or each would be written twice.
+        let most = self.most.max(record.len() as u64 * LARGE_RECORDS);
+        let full = self.log_at + record.len() as u64 > most || self.stale || self.turn == 0;
         if full {
             let turn = self.turn + 1;
             if self.stale {
--- a/spoke/src/gauge/select.rs
+++ b/spoke/src/gauge/select.rs
@@ -5,6 +5,12 @@
 
 use super::{Gauges, Key};
 
+/// How many lists are evaluated before other tasks get their turn.
+const LISTS_IN_A_BATCH: usize = 64;
+
+/// How many changed lists are logged one by one at a time.
+const LISTS_LOGGED: usize = 16;
+
 impl Gauges {
     /// Evaluates every list on the interval, never for a statement; and at once when the policy was changed.
     pub async fn evaluations(self: Rc<Self>) -> Result<(), Infallible> {
@@ -18,7 +24,7 @@
             if now >= next {
                 next = now + Duration::from_millis(p.eval_interval_ms);
                 let keys: Vec<Key> = self.lists.borrow().keys().cloned().collect();
-                keys.iter().for_each(|k| self.evaluate(k, now));
+                self.evaluate_all(&keys, now).await;
             }
             // A list that is new has no decision to hold yet.
             let fresh: Vec<Key> = self
@@ -28,7 +34,7 @@
                 .filter(|(_, l)| l.standing.set().is_none())
                 .map(|(k, _)| k.clone())
                 .collect();
-            fresh.iter().for_each(|k| self.evaluate(k, now));
+            self.evaluate_all(&fresh, now).await;
             if p.resample && now >= resample {
                 resample = now + Duration::from_millis(p.resample_interval_ms);
                 self.refill(p.resample_count);
@@ -44,6 +50,24 @@
         }
     }
 
+    /// Evaluates lists, a batch at a time: thousands may be new at once, and no task may hold the others up.
+    async fn evaluate_all(&self, keys: &[Key], now: Duration) {
+        let mut changed = 0;
+        for batch in keys.chunks(LISTS_IN_A_BATCH) {
+            for key in batch {
+                let Some(text) = self.evaluate(key, now) else { continue };
+                changed += 1;
+                if changed <= LISTS_LOGGED {
+                    self.env.log(Part::Pick, text);
+                }
+            }
+            self.env.yield_now().await;
+        }
+        if changed > LISTS_LOGGED {
+            self.env.log(Part::Pick, format!("{} more lists changed", changed - LISTS_LOGGED));
+        }
+    }
+
     /// Gives each doorway its list.
     fn enlist(&self) {
         let view = self.journal.view();
@@ -75,17 +99,18 @@
         g.servers.iter().map(row).collect()
     }
 
-    fn evaluate(&self, key: &Key, now: Duration) {
+    /// Evaluates one list; a line for the log where that changed it or failed.
+    fn evaluate(&self, key: &Key, now: Duration) -> Option<String> {
         let p = self.policy.borrow().clone();
         let policy =
             Policy { max_error_rate: p.max_error_rate, max_lag: p.max_lag, min_healthy: p.min_healthy as usize };
         let rows = self.candidates(key, now);
         if rows.is_empty() {
-            return;
+            return None;
         }
         self.runs.set(self.runs.get() + 1);
         let mut lists = self.lists.borrow_mut();
-        let Some(list) = lists.get_mut(key) else { return };
+        let list = lists.get_mut(key)?;
         let span = Duration::from_millis(p.window_ms);
         list.windows.values_mut().for_each(|w| w.resize(span));
         list.windows.retain(|s, _| rows.iter().any(|r| r.name == *s));
@@ -93,11 +118,9 @@
         let out = list.standing.evaluate(now, Duration::from_millis(p.history_ms), &policy, &rows);
         let after = list.standing.set().map(<[_]>::to_vec);
         if let Err(e) = out {
-            self.env.log(Part::Pick, format!("evaluation of {} failed, the last set stays: {e}", key.0));
-        } else if before != after {
-            let set = after.unwrap_or_default().join(" ");
-            self.env.log(Part::Pick, format!("{} reads from {set}", key.0));
+            return Some(format!("evaluation of {} failed, the last set stays: {e}", key.0));
         }
+        (before != after).then(|| format!("{} reads from {}", key.0, after.unwrap_or_default().join(" ")))
     }
 
     fn refill(&self, count: u64) {
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -31,7 +31,9 @@
 pub use search::SearchCounts;
 
 /// How many children a node takes before it calls itself full.
-const FULL: usize = 4;
+const MOST_CHILDREN: usize = 4;
+/// The same for a control node: the more hang on these, the fewer copies of the news go over the nodes' own links.
+const MOST_CHILDREN_OF_CONTROL_NODE: usize = 16;
 /// How many beats may be under way.
 const NONCES: usize = 64;
 
@@ -207,13 +209,14 @@
         self.children.borrow().values().map(|c| c.name.clone()).collect()
     }
 
+    /// Whether nodes that look for a parent had better find another.
+    fn full(&self) -> bool {
+        let most = if self.who.hub { MOST_CHILDREN_OF_CONTROL_NODE } else { MOST_CHILDREN };
+        self.children.borrow().len() >= most
+    }
+
     fn root(&self) -> Root {
-        let mut root = Root {
-            fed: self.fed(),
-            wave: self.wave.get(),
-            full: self.children.borrow().len() >= FULL,
-            ..Root::default()
-        };
+        let mut root = Root { fed: self.fed(), wave: self.wave.get(), full: self.full(), ..Root::default() };
         if !self.head().rooted()
             && let Some(p) = &*self.parent.borrow()
         {
