--- a/base/src/boot.rs
+++ b/base/src/boot.rs
@@ -279,8 +279,11 @@
 impl Signals {
     /// Listens from now on, so that no signal ends the process by default.
     pub async fn new() -> Self {
-        // While a reload is carried out its own listener is gone; this one keeps the default away for good.
-        std::mem::forget(listen(HUP).await);
+        // A listener is gone once it heard its signal; these keep the default actions away for good, so that a signal that
+        // comes again ends nothing that is still being seen to.
+        for signal in [HUP, TERM] {
+            std::mem::forget(listen(signal).await);
+        }
         Self { end: listen(TERM).await, stop: listen(INT).await, reload: listen(HUP).await }
     }
 
--- a/hub/src/consensus/types.rs
+++ b/hub/src/consensus/types.rs
@@ -106,7 +106,7 @@
         match body {
             Body::VoteRequest(m) => Some(Self::VoteRequest(m)),
             Body::VoteResponse(m) => Some(Self::VoteResponse(m)),
-            Body::Heartbeat(m) => Some(Self::Heartbeat(Box::new(m))),
+            Body::Heartbeat(m) => Some(Self::Heartbeat(m)),
             Body::HeartbeatAck(m) => Some(Self::HeartbeatAck(m)),
             _ => None,
         }
@@ -117,7 +117,7 @@
         match self {
             Self::VoteRequest(m) => Body::VoteRequest(m),
             Self::VoteResponse(m) => Body::VoteResponse(m),
-            Self::Heartbeat(m) => Body::Heartbeat(*m),
+            Self::Heartbeat(m) => Body::Heartbeat(m),
             Self::HeartbeatAck(m) => Body::HeartbeatAck(m),
         }
     }
--- a/kit/src/soak/verdict.rs
+++ b/kit/src/soak/verdict.rs
@@ -52,22 +52,25 @@
 const NOTICED: Duration = Duration::from_millis(1500);
 
 impl History {
-    /// Whether it was killed or stopped in a span, or since a while before.
-    fn in_trouble(&self, from: Duration, to: Duration) -> bool {
+    /// The spans in which it stood still, and the moments at which it was killed.
+    fn troubles(&self) -> Vec<(Duration, Duration)> {
+        let mut out = Vec::new();
         let mut stopped_since = None;
         for (at, fact) in &self.facts {
             match fact {
                 Fact::Stop => stopped_since = stopped_since.or(Some(*at)),
-                Fact::Cont => {
-                    if stopped_since.take().is_some_and(|since| since <= to && *at >= from) {
-                        return true;
-                    }
-                }
-                Fact::Kill if *at >= from && *at <= to => return true,
+                Fact::Cont => out.extend(stopped_since.take().map(|since| (since, *at))),
+                Fact::Kill => out.push((*at, *at)),
                 _ => {}
             }
         }
-        stopped_since.is_some_and(|since| since <= to)
+        out.extend(stopped_since.map(|since| (since, Duration::MAX)));
+        out
+    }
+
+    /// Whether it was killed or stood still in a span.
+    fn in_trouble(&self, from: Duration, to: Duration) -> bool {
+        self.troubles().iter().any(|(begin, end)| *begin <= to && *end >= from)
     }
 
     fn findings(&self, rules: Rules, end: Duration) -> Vec<String> {
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -27,8 +27,8 @@
     VoteRequest(VoteRequest),
     #[prost(message, tag = "8")]
     VoteResponse(VoteResponse),
-    #[prost(message, tag = "9")]
-    Heartbeat(Heartbeat),
+    #[prost(message, boxed, tag = "9")]
+    Heartbeat(Box<Heartbeat>),
     #[prost(message, tag = "10")]
     HeartbeatAck(HeartbeatAck),
     #[prost(message, tag = "11")]
