--- a/kit/src/soak/mod.rs
+++ b/kit/src/soak/mod.rs
@@ -35,6 +35,9 @@
 const SERVERS_IN_GROUP: usize = 3;
 const CONTROL_NODES: usize = 3;
 
+/// Bound by a soak for as long as it runs, at an address that tells its network.
+const RESERVED_PORT: u16 = 8781;
+
 /// The most processes that a soak starts.
 pub const MOST_PROCESSES: usize = 300;
 /// What a process is counted with when memory is looked at before the start.
@@ -118,6 +121,7 @@
     bank: Rc<Bank>,
     servers: Vec<String>,
     plans: Vec<Plan>,
+    _network: Network,
     _jobs: Vec<Job>,
 }
 
@@ -125,10 +129,29 @@
     format!("{ip}:{port}").parse().expect("an address")
 }
 
-/// Addresses of this run only, on loopback.
-fn ip(index: usize) -> String {
-    let run = 20 + std::process::id() % 200;
-    format!("127.{run}.{}.{}", 1 + index / 200, 1 + index % 200)
+/// Addresses on loopback that no other soak uses while this one runs.
+struct Network {
+    number: u32,
+    _reserved: TcpListener,
+}
+
+/// The second numbers of the addresses that soaks use.
+const NETWORKS: std::ops::Range<u32> = 20..220;
+
+impl Network {
+    fn reserve() -> Result<Self, String> {
+        let first = std::process::id() % NETWORKS.len() as u32;
+        for number in NETWORKS.map(|n| NETWORKS.start + (n + first) % NETWORKS.len() as u32) {
+            if let Ok(_reserved) = TcpListener::bind(address(&format!("127.{number}.0.1"), RESERVED_PORT)) {
+                return Ok(Self { number, _reserved });
+            }
+        }
+        Err(format!("port {RESERVED_PORT} is taken on all of 127.{}.0.1 to 127.{}.0.1", NETWORKS.start, NETWORKS.end - 1))
+    }
+
+    fn ip(&self, index: usize) -> String {
+        format!("127.{}.{}.{}", self.number, 1 + index / 200, 1 + index % 200)
+    }
 }
 
 fn can_run(soak: &Soak) -> Result<(), String> {
@@ -147,18 +170,15 @@
             return Err(format!("{} is not there: build the workspace first", soak.bins.join(name).display()));
         }
     }
-    match TcpListener::bind(address(&ip(0), 8782)) {
-        Ok(_) => Ok(()),
-        Err(e) => Err(format!("{}:8782 is taken: {e}", ip(0))),
-    }
+    Ok(())
 }
 
 impl Fleet {
     fn new(env: &Env, soak: &Soak) -> Result<Self, String> {
         let nodes = soak.processes - CONTROL_NODES;
-        let machines: Vec<String> = (0..nodes).map(ip).collect();
-        let platform = address(&ip(nodes), 80);
-        let platform = SocketAddr::new(platform.ip(), 8783);
+        let network = Network::reserve()?;
+        let machines: Vec<String> = (0..nodes).map(|index| network.ip(index)).collect();
+        let platform = address(&network.ip(nodes), 8783);
         let seeds: Vec<String> = machines[..CONTROL_NODES].to_vec();
         let text = |index: usize, disk: bool| {
             let zone = ZONES[index % ZONES.len()];
@@ -184,7 +204,7 @@
                     name: name.clone(),
                     group: group.clone(),
                     area: ZONES[(g + i) % ZONES.len()].into(),
-                    addr: address(&ip(nodes + 1 + servers.len()), 9000),
+                    addr: address(&network.ip(nodes + 1 + servers.len()), 9000),
                     nodes: control.clone(),
                     cap: 200,
                     work: Duration::from_millis(3),
@@ -205,7 +225,7 @@
         };
         let plans = groups.iter().map(plan).collect();
         let processes = processes.map_err(|e| format!("{}: {e}", soak.folder.display()))?;
-        Ok(Self { env: env.clone(), processes, access, control, bank, servers, plans, _jobs: jobs })
+        Ok(Self { env: env.clone(), processes, access, control, bank, servers, plans, _network: network, _jobs: jobs })
     }
 
     fn start(&mut self) -> Result<(), String> {
