--- a/hub/tests/consensus_days.rs
+++ b/hub/tests/consensus_days.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use hub::consensus::Guards;
+use hub::consensus::{Guards, Input, Message};
 use model::{
     ALL_GUARDS,
     world::{DiskFate, World, history, timing},
@@ -346,3 +346,73 @@
     let world = empty_seeds_far_from_the_state(Guards { form_again: true, ..ALL_GUARDS });
     assert!(!world.monitor.violations.is_empty(), "without the guard nothing was found");
 }
+
+/// A large image on its way holds up no heartbeat: while it takes ten election spans to come, the lead stays where it is.
+#[test]
+fn the_lead_stays_while_a_large_image_is_under_way() {
+    let mut world = calm(5, 5, ALL_GUARDS);
+    let top = leader(&world);
+    let term = world.nodes[top].disk.term;
+    world.add_doorways(top, 2000);
+    let carries_image = |world: &World, at: usize| match &world.messages[at].message {
+        Message::Heartbeat(h) => h.image.is_some() || h.delta.is_some(),
+        _ => false,
+    };
+    let end = world.now + timing().hold * 10;
+    while world.now < end {
+        world.elapse(timing().heartbeat / 4);
+        for index in world.running() {
+            world.input(index, Input::Tick);
+        }
+        let mut at = 0;
+        while at < world.messages.len() {
+            if carries_image(&world, at) {
+                at += 1;
+            } else {
+                world.deliver(at, DiskFate::Synced);
+            }
+        }
+        assert!(world.leads(top), "it lost the lead at {:?}", world.now);
+    }
+    run_for(&mut world, Duration::from_secs(1));
+    assert!(world.leads(top));
+    let rows = |i: usize| world.nodes[i].disk.image.as_ref().map_or(0, |image| image.doorways.len());
+    for index in world.running() {
+        assert_eq!((world.nodes[index].disk.term, rows(index)), (term, 2000), "h{index}");
+    }
+    assert_clean(&world);
+}
+
+/// The next leader finds what the one before it wrote: it is told in some bytes, however large the image is.
+#[test]
+fn a_change_of_the_lead_costs_no_image() {
+    let bytes = |doorways: usize| {
+        let mut world = calm(5, 5, ALL_GUARDS);
+        let old = leader(&world);
+        world.add_doorways(old, doorways);
+        run_for(&mut world, Duration::from_secs(2));
+        world.bytes_sent = 0;
+        world.leave(old);
+        run_for(&mut world, Duration::from_secs(1));
+        assert!(!world.leads(old) && world.leads(leader(&world)));
+        assert_clean(&world);
+        world.bytes_sent
+    };
+    let (few, many) = (bytes(20), bytes(2000));
+    assert!(many < few * 2, "{few} bytes with 20 doorways, {many} with 2000");
+}
+
+/// A change to one doorway of thousands is told as that one, to each of the others.
+#[test]
+fn a_small_change_to_a_large_image_costs_little() {
+    let mut world = calm(5, 5, ALL_GUARDS);
+    let top = leader(&world);
+    world.add_doorways(top, 2000);
+    run_for(&mut world, Duration::from_secs(2));
+    world.bytes_sent = 0;
+    world.add_doorways(top, 1);
+    world.run_on(timing().heartbeat / 4);
+    let rows = |i: usize| world.nodes[i].disk.image.as_ref().map_or(0, |image| image.doorways.len());
+    assert!(world.running().iter().all(|i| rows(*i) == 2001));
+    assert!(world.bytes_sent < 20_000, "{} bytes", world.bytes_sent);
+}
--- a/hub/tests/model/world.rs
+++ b/hub/tests/model/world.rs
@@ -8,7 +8,7 @@
     consensus::{Clock, Core, Effect, Guards, Identity, Input, Message, PeerHello, Ticket, Timing, has_quorum},
     store::{DurableState, Version},
 };
-use wire::{Image, Member};
+use wire::{Doorway, Frame, Image, Member, Message as _};
 
 use super::{
     dice::Dice,
@@ -63,6 +63,8 @@
     pub seeds: Vec<usize>,
     /// How many messages with an image were sent.
     pub images_sent: usize,
+    /// The bytes of all messages that were sent.
+    pub bytes_sent: usize,
     /// Whether chance decides how long candidates wait; else all wait equally long.
     pub chance: bool,
     tickets: Ticket,
@@ -94,6 +96,7 @@
             guards,
             seeds: vec![0, 1, 2],
             images_sent: 0,
+            bytes_sent: 0,
             chance: true,
             tickets: 0,
             incarnations: 0,
@@ -256,6 +259,7 @@
         let Some(to) = to.filter(|to| self.nodes[*to].core.is_some()) else { return };
         self.images_sent +=
             usize::from(matches!(&message, Message::Heartbeat(h) if h.image.is_some() || h.delta.is_some()));
+        self.bytes_sent += Frame { body: Some(message.clone().into_body()) }.encoded_len();
         let lives = (self.nodes[from].life, self.nodes[to].life);
         self.messages.push(Envelope { from, to, message, lives });
     }
@@ -296,6 +300,19 @@
         }
     }
 
+    /// An operator adds so many doorways at a machine.
+    pub fn add_doorways(&mut self, index: usize, count: usize) {
+        let change = Box::new(move |image: &Image| {
+            let mut next = image.clone();
+            let first = image.doorways.len();
+            let doorway = |n| Doorway { name: format!("d{n}"), note: "n".repeat(250), ..Doorway::default() };
+            next.doorways.extend((first..first + count).map(doorway));
+            Some(next)
+        });
+        let ticket = self.ticket(Call::Read);
+        self.input(index, Input::Propose { ticket, change });
+    }
+
     /// An operator reads the image from a machine.
     pub fn read(&mut self, index: usize) {
         let ticket = self.ticket(Call::Read);
