A hand-over that can't be completed ends with a primary

When the reason of the hand-over is withdrawn, `supervise_confirming` found no primary reported and fell back to `proven`: the server that had stepped down was taken for the primary, and as it answered nobody was promoted. On a related path, found by reading: a recorded primary that is no longer in its group's list (replaced at its address) could neither be told anything nor be missed.

Change: a recorded primary that says it is a replica, while nobody leads, starts a branch of its own that promotes the eligible server with the highest position, which is the old primary again if it may lead. It holds every acknowledged commit, since no lease on another server was granted after the last recorded election. Connections are kept until a server is taken off its group. Nodes treat a deregistered primary as a draining one.

--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -129,6 +129,12 @@
         let mut leadership = self.leadership_of(&group.name);
         let now = self.env.now();
         let observed = self.observed_primary(group, image);
+        if !leadership.server.is_empty() && !group.servers.contains(&leadership.server) {
+            // Another server took its place in the list, and nobody can tell it to step down any more.
+            self.revoke_leases(&group.name, &format!("{} has left", leadership.server));
+            self.update_group(&group.name, |state| state.server.clear());
+            leadership.server.clear();
+        }
         if leadership.server.is_empty()
             && let Some(election) =
                 image.election(&group.name).filter(|election| group.servers.contains(&election.server))
@@ -184,6 +190,11 @@
             self.hand_over(group, image, &leadership.server, requested).await;
             return;
         }
+        if observed.is_none() && self.has_stepped_down(&leadership.server) {
+            self.revoke_leases(&group.name, &format!("{} has stepped down", leadership.server));
+            self.end_hand_over(group, image, &leadership.server).await;
+            return;
+        }
         let is_primary = observed.as_ref().map_or(leadership.proven, |primary| primary.name == leadership.server);
         let granting = is_primary && unanswered < self.bounds.server_missed_after() / 2;
         if granting != leadership.granting {
@@ -635,6 +646,30 @@
         }
     }
 
+    /// Whether a server, asked recently, reported itself as a replica.
+    fn has_stepped_down(&self, server: &str) -> bool {
+        let since = self.env.now().saturating_sub(self.bounds.server_missed_after());
+        let server_statuses = self.server_statuses.borrow();
+        let status = server_statuses.get(server).and_then(|status| status.last_status);
+        status.is_some_and(|(requested_at, status)| requested_at >= since && !status.is_primary)
+    }
+
+    /// Ends a hand-over whose reason no longer holds after the old primary had stepped down: promotes the eligible
+    /// server with the highest position, which is the old primary again unless it may not lead. Until this control node
+    /// grants leases on another server, no commit is acknowledged elsewhere, so the old primary holds all of them.
+    async fn end_hand_over(&self, group: &Group, image: &Image, from: &str) {
+        if self.in_promoter_change_pause() || self.disabled.leave_hand_over {
+            return;
+        }
+        let since = self.env.now().saturating_sub(self.bounds.server_missed_after());
+        let statuses = self.statuses_since(group, image, since);
+        let eligible = statuses.iter().filter(|status| status.eligible);
+        let Some(next) = eligible.max_by_key(|status| (status.position, status.name == from)) else { return };
+        let epoch = self.highest_epoch(group) + 1;
+        self.log(Component::Election, format!("nobody leads {}: {from} stepped down", group.name));
+        self.transfer_primary(group, from, &next.name, epoch).await;
+    }
+
     /// Drops the statement that is queued for a server.
     fn cancel_order(&self, server: &str) {
         if let Some(status) = self.server_statuses.borrow_mut().get_mut(server) {
--- a/hub/src/leadership/membership.rs
+++ b/hub/src/leadership/membership.rs
@@ -84,8 +84,12 @@
             .collect()
     }
 
-    /// Whether a server answered this control node's status requests recently.
+    /// Whether a server answered this control node's status requests recently, and is expected to send heartbeats: one
+    /// that deregistered sends none.
     fn is_responding(&self, server: &str) -> bool {
+        if self.servers.borrow().get(server).is_some_and(|record| record.deregistered) {
+            return false;
+        }
         let since = self.env.now().saturating_sub(self.bounds.server_gone_after());
         self.server_statuses.borrow().get(server).and_then(|status| status.last_response).is_some_and(|at| at >= since)
     }
--- a/hub/src/leadership/sampling.rs
+++ b/hub/src/leadership/sampling.rs
@@ -54,7 +54,9 @@
                 let image = self.consensus.image();
                 let servers = self.servers.borrow();
                 let target = |group: &wire::Group, server: &String| {
-                    let record = servers.get(server).filter(|record| !record.deregistered)?;
+                    // A server that deregistered serves on for a while, and a primary still has to be told to step down.
+                    let drop_deregistered = self.disabled.drop_deregistered;
+                    let record = servers.get(server).filter(|record| !(record.deregistered && drop_deregistered))?;
                     Some((server.clone(), (record.addr.clone(), group.confirms.then(|| group.name.clone()))))
                 };
                 let targets = image.iter().flat_map(|image| {
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -66,6 +66,10 @@
     /// Don't answer `OutcomeUnknown` to an order that is too old to determine whether it was applied, so that it is
     /// refused by the other checks.
     pub refuse_forgotten: bool,
+    /// Leave a group without a primary when the reason of a hand-over is withdrawn after the primary stepped down.
+    pub leave_hand_over: bool,
+    /// Keep no connection to a server that deregistered and still serves.
+    pub drop_deregistered: bool,
     /// Consider only the zones that servers and nodes reported since this control node began to lead.
     pub reported_zones_only: bool,
 }
--- a/kit/src/sim/platform_deployment.rs
+++ b/kit/src/sim/platform_deployment.rs
@@ -4,7 +4,7 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use platform::stand_in::{
-    ClientHistory, ReplicatedStore, ServerConfig, Workload, configure, run_client, serve, serve_promotions,
+    ClientHistory, Order, ReplicatedStore, ServerConfig, Workload, configure, run_client, serve, serve_promotions,
     settings_file,
 };
 
@@ -316,6 +316,8 @@
     /// - of servers: `deaf` and `hear` (receives no replicated entries, receives them), `mute` and `loud` (leaves out one
     ///   response in 20, none), `silent` and `tell` (sends no heartbeats, sends them), `shut` and `open` (accepts no new
     ///   sessions, accepts them), `drain`, `quit` (deregisters and ends)
+    /// - of servers: `deregister` (deregisters, sends no more heartbeats and serves on)
+    /// - of zones: `evacuate` and `take-back` (an operator's orders, sent until they are acknowledged)
     /// - `cut>NAME` (this direction), `part>NAME` (both directions), `heal>NAME` (both directions)
     ///
     /// Panics on an unknown action.
@@ -341,6 +343,9 @@
             self.sim.log_event(&format!("{from} {path_action} {to}"));
             return;
         }
+        if matches!(action, "evacuate" | "take-back") {
+            return self.order_evacuation(name, action == "take-back");
+        }
         for target in &targets {
             match action {
                 "." => {}
@@ -367,19 +372,41 @@
                 "shut" => drop(self.store.with_replica(target, |copy| copy.refuses_sessions = true)),
                 "open" => drop(self.store.with_replica(target, |copy| copy.refuses_sessions = false)),
                 "quit" => {
-                    let env = self.sim.env(self.processes.borrow()["desk"].host);
-                    let (nodes, name) = (self.control_addresses.clone(), target.clone());
-                    self.spawn_on_client_host(async move {
-                        platform::stand_in::deregister_server(&env, &nodes, &name).await;
-                    });
+                    self.deregister(target);
                     self.sim.kill(host(target), false);
                 }
+                "deregister" => {
+                    let _ = self.store.with_replica(target, |copy| copy.heartbeats_paused = true);
+                    self.deregister(target);
+                }
                 "drain" => drop(self.store.with_replica(target, |copy| copy.draining = true)),
                 other => panic!("no action {other:?}"),
             }
         }
     }
 
+    /// Reports to a control node that a server ends.
+    fn deregister(&self, server: &str) {
+        let (env, nodes, name) = (self.client_env(), self.control_addresses(), server.to_string());
+        self.spawn_on_client_host(async move {
+            platform::stand_in::deregister_server(&env, &nodes, &name).await;
+        });
+    }
+
+    /// Orders the evacuation of a zone, or its end, at one control node after the other until it is acknowledged.
+    fn order_evacuation(&self, zone: &str, withdrawn: bool) {
+        let (env, nodes) = (self.client_env(), self.control_addresses());
+        let order = Order::evacuation(zone, withdrawn);
+        self.spawn_on_client_host(async move {
+            for node in nodes.iter().cycle() {
+                if order.send(&env, *node, Duration::from_secs(1)).await.is_some_and(|answer| answer.0 < 300) {
+                    return;
+                }
+                env.sleep(Duration::from_millis(50)).await;
+            }
+        });
+    }
+
     /// Runs a timeline after the first configuration: the first line names the columns after its first word, each further
     /// line has the seconds since the load began and an action for each column (see `apply_action`).
     pub fn run_timeline(&self, text: &str) {
--- /dev/null
+++ b/kit/tests/hand_overs.rs
@@ -0,0 +1,144 @@
+//! Hand-overs of a primary that can't be completed at once: whatever happens on the way, a group with a server that
+//! answers gets a primary again. The tests run in virtual time.
+
+use std::{rc::Rc, time::Duration};
+
+use kit::sim::{PlatformDeployment, PlatformDeploymentOptions};
+
+/// The seeds under which each timeline runs.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
+
+/// A primary stepped down, the platform can't be called, and the reason for the hand-over is withdrawn.
+const WITHDRAWN: &str = "at  duty  north
+    2   dark  .
+    2.2 .     evacuate
+    6   .     take-back
+    7   start .";
+
+/// A primary deregisters without draining first while the platform can't be called, and serves on.
+const DEREGISTERED: &str = "at  duty  s00
+    2   dark  .
+    2.2 .     deregister
+    5   start .
+    9   .     .";
+
+/// Runs a timeline after the first configuration.
+fn play(seed: u64, options: PlatformDeploymentOptions, timeline: &str) -> Rc<PlatformDeployment> {
+    let deployment = PlatformDeployment::new(seed, options);
+    deployment.run_timeline(timeline);
+    deployment
+}
+
+/// The groups in which no write succeeds from now on.
+fn groups_without_commits(deployment: &Rc<PlatformDeployment>) -> Vec<String> {
+    let before = deployment.store.commit_counts();
+    deployment.start_load(2, Duration::from_secs(2));
+    deployment.sim.run_for(Duration::from_secs(4));
+    let after = deployment.store.commit_counts().into_iter();
+    after.filter(|(group, count)| before.get(group) >= Some(count)).map(|(group, _)| group).collect()
+}
+
+/// Runs a timeline and asserts that nothing promised was broken, and that every group is served after it.
+fn assert_served_at_the_end(timeline: &str) {
+    for seed in SEEDS {
+        let deployment = play(seed, PlatformDeploymentOptions::default(), timeline);
+        let found = deployment.findings();
+        assert!(found.is_empty(), "seed {seed}: {found:?}\n{}", deployment.formatted_log());
+        let unserved = groups_without_commits(&deployment);
+        assert!(unserved.is_empty(), "seed {seed}: no commits in {unserved:?}\n{}", deployment.formatted_log());
+    }
+}
+
+/// A primary stepped down for a hand-over, the platform could not be called, and the reason of the hand-over was
+/// withdrawn before the platform returned: the group stayed without a primary for good (review/4).
+#[test]
+fn a_hand_over_whose_reason_was_withdrawn_while_the_platform_was_down_ends_with_a_primary() {
+    assert_served_at_the_end(WITHDRAWN);
+    let is_served_without_guard = |seed| {
+        let mut options = PlatformDeploymentOptions::default();
+        options.hub.leave_hand_over = true;
+        groups_without_commits(&play(seed, options, WITHDRAWN)).is_empty()
+    };
+    assert!(!SEEDS.into_iter().any(is_served_without_guard), "all groups are served without the guard");
+}
+
+/// The same, with all processes started again after it.
+#[test]
+fn a_group_whose_primary_stepped_down_gets_one_after_all_processes_started_again() {
+    assert_served_at_the_end(
+        "at  duty  north     machines
+         2   dark  .         .
+         2.2 .     evacuate  .
+         6   .     take-back .
+         7   .     .         kill
+         8   start .         start
+         12  .     .         .",
+    );
+}
+
+/// The primary stepped down and crashed before another was promoted.
+#[test]
+fn a_primary_that_stepped_down_and_crashed_is_replaced() {
+    assert_served_at_the_end(
+        "at  duty  north     s00
+         2   dark  .         .
+         2.2 .     evacuate  .
+         5   .     .         dark
+         6   .     take-back .
+         7   start .         .
+         14  .     .         start",
+    );
+}
+
+/// The candidate of a hand-over crashed while the platform was down.
+#[test]
+fn a_hand_over_whose_candidate_crashed_ends_with_a_primary() {
+    assert_served_at_the_end(
+        "at  duty  north     s01  s02
+         2   dark  .         .    .
+         2.2 .     evacuate  .    .
+         5   .     .         dark .
+         6   .     take-back .    .
+         7   start .         .    .
+         14  .     .         start .",
+    );
+}
+
+/// The leading control node changed in the middle of a hand-over.
+#[test]
+fn a_hand_over_that_lost_its_leading_control_node_ends_with_a_primary() {
+    assert_served_at_the_end(
+        "at  duty  north     h0    h1    h2
+         2   dark  .         .     .     .
+         2.2 .     evacuate  .     .     .
+         4   .     .         kill  .     .
+         4.5 .     .         .     kill  .
+         5   .     .         start start .
+         6   .     take-back .     .     .
+         7   start .         .     .     .
+         12  .     .         .     .     .",
+    );
+}
+
+/// The primary of the first group that a deployment ends with after a primary deregistered.
+fn primary_after_deregistration(deployment: &PlatformDeployment) -> Option<String> {
+    Some(deployment.store.primary_of("g0")).filter(|primary| !["", "s00"].contains(&primary.as_str()))
+}
+
+/// A primary that deregistered without draining first was no longer connected to, so that it could not be told to step
+/// down once the platform answered again; nodes went on sending to it (review/5).
+#[test]
+fn a_primary_that_deregisters_without_draining_is_relieved_when_the_platform_returns() {
+    assert_served_at_the_end(DEREGISTERED);
+    for seed in SEEDS {
+        let deployment = play(seed, PlatformDeploymentOptions::default(), DEREGISTERED);
+        let primary = primary_after_deregistration(&deployment);
+        assert!(primary.is_some(), "seed {seed}: {primary:?}\n{}", deployment.formatted_log());
+    }
+    let is_relieved_without_guard = |seed| {
+        let mut options = PlatformDeploymentOptions::default();
+        options.hub.drop_deregistered = true;
+        primary_after_deregistration(&play(seed, options, DEREGISTERED)).is_some()
+    };
+    assert!(!SEEDS.into_iter().all(is_relieved_without_guard), "the primary is relieved without the guard");
+}
--- a/spoke/src/view/apply.rs
+++ b/spoke/src/view/apply.rs
@@ -83,7 +83,7 @@
             let new = Server {
                 addr: server.addr.clone(),
                 zone: server.zone.clone(),
-                draining_since: since(old.and_then(|o| o.draining_since), server.draining),
+                draining_since: since(old.and_then(|o| o.draining_since), server.draining || server.deregistered),
                 gone_since: since(old.and_then(|o| o.gone_since), server.unreachable),
                 cold: f64::from(server.coldness_permille) / 1000.0,
             };
