Nodes keep selection lists for databases in use, and one for each group

A window is 3.6 KB for each route and server.

Change: a list for each group, measured by position reads; a database gets a list of its own, a copy of its group's, with its first statement, and keeps it for as long as its decisions are kept. The design stays: per database, per interval, never per statement; a database without statements had nothing but position reads in its list before, too. /lists and /decisions show a database without a list of its own with that of its group.

--- a/spoke/src/health/mod.rs
+++ b/spoke/src/health/mod.rs
@@ -1,5 +1,6 @@
 //! What this node measures of the servers, and the lists of eligible servers that are evaluated from it.
 
+mod lists;
 mod sample;
 mod select;
 
@@ -17,11 +18,13 @@
     runtime::{Component, Env},
     settings::PolicySettings,
 };
-use pick::{EligibleSet, Outcome, Weights, Window};
+use pick::Outcome;
 use wire::Image;
 
 use crate::view::Journal;
 
+pub use lists::{ListName, SelectionList, SelectionLists};
+
 /// How many positions of a group's primary are kept.
 const MAX_PRIMARY_POSITIONS: usize = 32;
 
@@ -59,18 +62,6 @@
 /// A database, and a statement kind where lists are kept per kind (otherwise `*`).
 pub type ListKey = (String, String);
 
-/// The eligible set of one database, with its measurements and weights.
-#[derive(Default)]
-pub struct SelectionList {
-    pub windows: BTreeMap<String, Window>,
-    pub eligible: EligibleSet,
-    pub weights: Weights,
-    /// How many real statements each excluded server may still receive until the next resampling.
-    pub sample_budget: BTreeMap<String, u64>,
-    /// Whether a statement was measured since the weights were last adjusted.
-    has_new_measurements: bool,
-}
-
 /// All measurements of this node.
 pub struct HealthMeasurements {
     env: Env,
@@ -80,7 +71,7 @@
     /// Notified when the policy was changed.
     pub policy_changed: Notify,
     pub observations: RefCell<BTreeMap<String, Observation>>,
-    pub lists: RefCell<BTreeMap<ListKey, SelectionList>>,
+    pub lists: RefCell<SelectionLists>,
     /// By group, positions of its primary with the time at which each was requested.
     primary_positions: RefCell<BTreeMap<String, VecDeque<(Duration, Position)>>>,
     /// Notified when a position was read.
@@ -102,9 +93,6 @@
     head.index.saturating_sub(common)
 }
 
-/// With this many lists, further statement kinds use the common list of their database.
-const MAX_LISTS_WITH_KIND: usize = 64;
-
 impl HealthMeasurements {
     /// Without any measurement.
     pub fn new(
@@ -137,39 +125,25 @@
         (database.into(), kind.into())
     }
 
-    /// Records the outcome of a statement and its latency.
+    /// Records the outcome of a statement and its latency. A statement for a route that was removed meanwhile is not
+    /// recorded.
     pub fn record(&self, key: &ListKey, server: &str, outcome: Outcome, latency: Duration) {
-        let now = self.env.now();
-        let window = Duration::from_millis(self.policy.borrow().window_ms);
-        let mut lists = self.lists.borrow_mut();
-        let key = if lists.len() >= MAX_LISTS_WITH_KIND && !lists.contains_key(key) {
-            &(key.0.clone(), "*".into())
-        } else {
-            key
-        };
-        let list = lists.entry(key.clone()).or_default();
-        list.has_new_measurements |= !matches!(outcome, Outcome::Probe | Outcome::ProbeFailed);
-        list.windows.entry(server.into()).or_insert_with(|| Window::new(window)).record(now, outcome, latency);
+        let view = self.journal.view();
+        let Some(route) = view.route(&key.0) else { return };
+        let times = (self.env.now(), self.window());
+        self.lists.borrow_mut().record_statement(key, &route.group, times, server, outcome, latency);
     }
 
     /// Records the outcome of a position read in every list of the server's group.
     fn record_probe(&self, server: &str, succeeded: bool) {
-        let outcome = if succeeded { Outcome::Probe } else { Outcome::ProbeFailed };
-        let keys: Vec<ListKey> = {
-            let view = self.journal.view();
-            let Some(image) = &view.image else { return };
-            let Some(group) = image.group_of(server) else { return };
-            let lists = self.lists.borrow();
-            let names = image.routes.iter().filter(|d| d.group == group.name).map(|d| &d.name);
-            let of_name = |name: &String| {
-                let first = (name.clone(), String::new());
-                lists.range(first..).map(|(key, _)| key).take_while(|key| key.0 == *name).cloned().collect::<Vec<_>>()
-            };
-            names.flat_map(of_name).collect()
-        };
-        for key in keys {
-            self.record(&key, server, outcome, Duration::ZERO);
-        }
+        let view = self.journal.view();
+        let Some(group) = view.image.as_ref().and_then(|image| image.group_of(server)) else { return };
+        self.lists.borrow_mut().record_probe(&group.name, self.env.now(), self.window(), server, succeeded);
+    }
+
+    /// The duration of the scoring window.
+    fn window(&self) -> Duration {
+        Duration::from_millis(self.policy.borrow().window_ms)
     }
 
     /// Records a position that a server showed in its response to a request sent at `requested_at`.
@@ -310,7 +284,7 @@
 
     /// The numbers of observed servers, of groups with primary positions, and of lists.
     pub fn entry_counts(&self) -> [usize; 3] {
-        [self.observations.borrow().len(), self.primary_positions.borrow().len(), self.lists.borrow().len()]
+        [self.observations.borrow().len(), self.primary_positions.borrow().len(), self.lists.borrow().count()]
     }
 
     /// The oldest position of the group's primary that was requested at `from` or later, with the time of its request.
--- a/spoke/src/http_endpoint/status.rs
+++ b/spoke/src/http_endpoint/status.rs
@@ -302,20 +302,26 @@
         ]
     }
 
+    /// The lists of all databases; one without a list of its own has that of its group.
     fn lists(&self) -> Vec<SelectionListRow> {
         let lists = self.context.health.lists.borrow();
-        let row =
-            |((database, kind), list): (&crate::health::ListKey, &crate::health::SelectionList)| SelectionListRow {
-                database: database.clone(),
-                kind: kind.clone(),
-                eligible: list.eligible.servers().map(<[_]>::to_vec).unwrap_or_default(),
-                weights: list
-                    .weights
-                    .iter()
-                    .map(|(server, weight)| WeightRow { server: server.clone(), weight: *weight })
-                    .collect(),
-            };
-        lists.iter().map(row).collect()
+        let view = self.context.journal.view();
+        let row = |database: &str, kind: &str, list: &crate::health::SelectionList| SelectionListRow {
+            database: database.into(),
+            kind: kind.into(),
+            eligible: list.eligible.servers().map(<[_]>::to_vec).unwrap_or_default(),
+            weights: list
+                .weights
+                .iter()
+                .map(|(server, weight)| WeightRow { server: server.clone(), weight: *weight })
+                .collect(),
+        };
+        let routes = view.image.iter().flat_map(|image| &image.routes);
+        let rows = routes.flat_map(|route| {
+            let of_database = lists.of_database(&route.name, &route.group).into_iter();
+            of_database.map(|(kind, list)| row(&route.name, kind, list)).collect::<Vec<_>>()
+        });
+        rows.collect()
     }
 
     fn journal(&self) -> Vec<String> {
@@ -329,7 +335,12 @@
         let now = self.context.env.now();
         let (name, kind) = name.split_once('/').unwrap_or((name, "*"));
         let lists = self.context.health.lists.borrow();
-        let Some(list) = lists.get(&(name.to_string(), kind.to_string())) else { return Vec::new() };
+        let view = self.context.journal.view();
+        let Some(route) = view.route(name) else { return Vec::new() };
+        let of_database = lists.of_database(name, &route.group);
+        let Some((_, list)) = of_database.into_iter().find(|(own_kind, _)| *own_kind == kind) else {
+            return Vec::new();
+        };
         let server_row = |server: &pick::ServerDecision| ServerDecisionRow {
             server: server.name.clone(),
             eligible: server.eligible,
--- a/spoke/src/routing/mod.rs
+++ b/spoke/src/routing/mod.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use crate::{
-    health::{HealthMeasurements, ListKey},
+    health::{HealthMeasurements, ListKey, SelectionList},
     run::{DisabledGuards, Pools},
     view::{Journal, View},
 };
@@ -279,7 +279,8 @@
         candidates: &[(&String, Condition)],
     ) -> Option<Target> {
         let mut lists = self.health.lists.borrow_mut();
-        let list = lists.entry(key.clone()).or_default();
+        let mut unmeasured = SelectionList::default();
+        let list = lists.get_mut(key, &route.group).unwrap_or(&mut unmeasured);
         let sampled = candidates.iter().find(|(s, _)| {
             !list.eligible.contains(s)
                 && list.sample_budget.get(*s).is_some_and(|n| *n > 0)
@@ -391,7 +392,7 @@
         }
         let any_eligible = |rows: &[(&String, Condition)]| {
             let lists = self.health.lists.borrow();
-            let list = lists.get(key);
+            let list = lists.get(key, &route.group);
             rows.iter().any(|(s, _)| list.is_none_or(|l| l.eligible.contains(s)))
         };
         // Within the eligible set, servers of the own zone come first while their pools are not crowded.
