--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -28,7 +28,9 @@
     runtime::{Component, Env},
     settings::NodeConfig,
 };
-use wire::{Image, NodeHeartbeat, NodeHeartbeatAck, Snapshot, SnapshotVersion, relay::Relay};
+use wire::{
+    Image, NodeHeartbeat, NodeHeartbeatAck, Snapshot, SnapshotVersion, relay::Relay, snapshot::image_for_nodes,
+};
 
 use crate::{
     consensus::Consensus,
@@ -69,6 +71,8 @@
     promotion_counts: RefCell<BTreeMap<String, (u64, String)>>,
     /// The nodes in the latest snapshot.
     published_nodes: RefCell<Vec<wire::Node>>,
+    /// The image of the latest snapshot, and the part of it that nodes need.
+    published_image: RefCell<Option<(Rc<Image>, Rc<Image>)>>,
     leases: RefCell<LeaseTable>,
     /// The leadership status by group.
     group_leadership: RefCell<BTreeMap<String, GroupLeadership>>,
@@ -125,6 +129,7 @@
             nodes: RefCell::default(),
             promotion_counts: RefCell::default(),
             published_nodes: RefCell::default(),
+            published_image: RefCell::default(),
             leases: RefCell::default(),
             group_leadership: RefCell::default(),
             log_samples: RefCell::default(),
@@ -248,10 +253,23 @@
         let servers = self.servers.borrow().iter().map(|(name, record)| record.to_message(name)).collect();
         let nodes = self.nodes_to_publish();
         self.published_nodes.borrow_mut().clone_from(&nodes);
-        self.relay.publish(Snapshot::new(self.snapshot_version(), &image, servers, nodes));
+        self.relay.publish(Snapshot::new(self.snapshot_version(), self.image_for_nodes(image), servers, nodes));
         self.state_changed.notify_waiters();
     }
 
+    /// The part of the image that nodes need; made anew only when the image changed.
+    fn image_for_nodes(&self, image: Rc<Image>) -> Rc<Image> {
+        let mut published = self.published_image.borrow_mut();
+        if let Some((source, for_nodes)) = &*published
+            && Rc::ptr_eq(source, &image)
+        {
+            return for_nodes.clone();
+        }
+        let for_nodes = Rc::new(image_for_nodes(&image));
+        *published = Some((image, for_nodes.clone()));
+        for_nodes
+    }
+
     /// Publishes a snapshot with the next batch, so that not every server's report causes one.
     pub(super) fn publish_soon(&self) {
         self.unpublished.set(true);
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -253,6 +253,22 @@
         }
     }
 
+    /// As [`Image::for_nodes`], without copying what stays.
+    pub fn into_part_for_nodes(mut self) -> Image {
+        self.routes.iter_mut().for_each(|route| route.note.clear());
+        self.groups.iter_mut().for_each(|group| group.note.clear());
+        Image {
+            routes: self.routes,
+            groups: self.groups,
+            limits: self.limits,
+            evacuated_zones: self.evacuated_zones,
+            elections: self.elections,
+            logs: self.logs,
+            sequence: self.sequence,
+            ..Image::default()
+        }
+    }
+
     /// Whether a group's list of servers has been found complete, and no server has been removed since.
     pub fn is_membership_complete(&self, group: &Group) -> bool {
         let found = self.group_memberships.iter().find(|m| m.group == group.name);
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -83,9 +83,6 @@
     /// On control nodes: the disk holds only an image that an operator deliberately recovered from the last disk left.
     #[prost(bool, tag = "9")]
     pub rescued: bool,
-    /// Whether the sender accepts snapshots as deltas; false from builds that need full snapshots.
-    #[prost(bool, tag = "10")]
-    pub accepts_deltas: bool,
     /// On control nodes: the disk was first used at the first start of the whole system.
     #[prost(bool, tag = "11")]
     pub may_form: bool,
@@ -93,6 +90,10 @@
     /// whole.
     #[prost(bool, tag = "12")]
     pub accepts_pieces: bool,
+    /// Whether the sender accepts snapshots as deltas with the sum of the items' digests; false from builds that need
+    /// full snapshots. Tag 10 said so of deltas with a checksum of the whole encoding.
+    #[prost(bool, tag = "13")]
+    pub accepts_deltas: bool,
 }
 
 /// A node's heartbeat, which goes up the tree to the leader.
@@ -258,9 +259,6 @@
     /// The snapshot that results.
     #[prost(message, optional, tag = "2")]
     pub version: Option<SnapshotVersion>,
-    /// The checksum of the snapshot that results.
-    #[prost(fixed32, tag = "3")]
-    pub digest: u32,
     #[prost(uint64, tag = "4")]
     pub sequence: u64,
     #[prost(message, optional, tag = "5")]
@@ -293,6 +291,9 @@
     pub nodes: Vec<Node>,
     #[prost(string, repeated, tag = "19")]
     pub nodes_removed: Vec<String>,
+    /// The digest of the snapshot that results. Tag 3 held a checksum of its whole encoding.
+    #[prost(fixed64, tag = "20")]
+    pub digest: u64,
 }
 
 /// A child's request to its parent for the full snapshot, because a delta did not fit the snapshot that the child
--- a/wire/src/snapshot.rs
+++ b/wire/src/snapshot/mod.rs
@@ -1,20 +1,42 @@
 //! State snapshots as nodes keep them, the deltas between two of them, and the application of a delta. Pure functions,
 //! without I/O.
 
-use std::{collections::BTreeMap, rc::Rc};
+mod lists;
+
+use std::{cell::OnceCell, collections::BTreeMap, rc::Rc};
 
 use prost::Message;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Election, FullSnapshot, Group, Image, Node, Route, Server, ServerLog, SnapshotDelta, SnapshotVersion};
+use crate::{FullSnapshot, Image, Node, Server, SnapshotDelta, SnapshotVersion};
+use lists::{DigestSum, diff, merge, sort};
 
 /// The state that the leader publishes to all nodes. Its lists are sorted by key, so that equal states have equal
 /// digests.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default)]
 pub struct Snapshot {
     pub version: SnapshotVersion,
     pub image: Rc<Image>,
     pub servers: Vec<Server>,
     pub nodes: Vec<Node>,
+    /// The digest of the image's lists, once it is known.
+    image_sum: OnceCell<u64>,
+    /// The digest of the servers and nodes, once it is known.
+    members_sum: OnceCell<u64>,
+}
+
+impl PartialEq for Snapshot {
+    fn eq(&self, other: &Self) -> bool {
+        self.version == other.version
+            && self.image == other.image
+            && self.servers == other.servers
+            && self.nodes == other.nodes
+    }
+}
+
+/// A cell that holds a value.
+fn known(sum: &DigestSum) -> OnceCell<u64> {
+    OnceCell::from(sum.get())
 }
 
 /// Why a delta was not applied.
@@ -31,63 +53,12 @@
     Digest,
 }
 
-/// An item of a list in which each key occurs once.
-trait Keyed: Clone + PartialEq {
-    fn key(&self) -> &str;
-}
-
-macro_rules! keyed {
-    ($($item:ty: $field:ident),*) => {
-        $(impl Keyed for $item {
-            fn key(&self) -> &str {
-                &self.$field
-            }
-        })*
-    };
-}
-
-keyed!(Route: name, Group: name, Election: group, ServerLog: server, Server: name, Node: name);
-
-impl Keyed for String {
-    fn key(&self) -> &str {
-        self
-    }
-}
-
-/// Sorts by key. Of several items with the same key the first is kept, as it is the one that look-ups in an [`Image`]
-/// find.
-fn sort<T: Keyed>(list: &mut Vec<T>) {
-    list.sort_by(|a, b| a.key().cmp(b.key()));
-    list.dedup_by(|a, b| a.key() == b.key());
-}
-
-/// The items that were added or changed, and the keys that were removed.
-fn diff<T: Keyed>(old: &[T], new: &[T]) -> (Vec<T>, Vec<String>) {
-    let before: BTreeMap<&str, &T> = old.iter().map(|item| (item.key(), item)).collect();
-    let after: BTreeMap<&str, &T> = new.iter().map(|item| (item.key(), item)).collect();
-    let changed = new.iter().filter(|item| before.get(item.key()) != Some(item)).cloned().collect();
-    let removed = old.iter().map(Keyed::key).filter(|key| !after.contains_key(key)).map(String::from).collect();
-    (changed, removed)
-}
-
-/// Inserts or replaces changed items and removes those with the keys in `removed`.
-fn merge<T: Keyed>(list: &mut Vec<T>, changed: &[T], removed: &[String]) {
-    if changed.is_empty() && removed.is_empty() {
-        return;
-    }
-    let mut all: BTreeMap<String, T> = list.drain(..).map(|item| (item.key().into(), item)).collect();
-    for key in removed {
-        all.remove(key);
-    }
-    for item in changed {
-        all.insert(item.key().into(), item.clone());
-    }
-    list.extend(all.into_values());
+/// The part of an image that nodes need, with sorted lists.
+pub fn image_for_nodes(image: &Image) -> Image {
+    with_sorted_lists(image.for_nodes())
 }
 
-/// The part of an image that nodes need, with sorted lists.
-fn for_nodes(image: &Image) -> Image {
-    let mut image = image.for_nodes();
+fn with_sorted_lists(mut image: Image) -> Image {
     sort(&mut image.routes);
     sort(&mut image.groups);
     sort(&mut image.evacuated_zones);
@@ -97,16 +68,17 @@
 }
 
 impl Snapshot {
-    /// Builds a snapshot of the current state, with the part of the image that nodes need.
-    pub fn new(version: SnapshotVersion, image: &Image, mut servers: Vec<Server>, mut nodes: Vec<Node>) -> Self {
+    /// Builds a snapshot of the current state from the result of [`image_for_nodes`], the servers and the nodes.
+    pub fn new(version: SnapshotVersion, image: Rc<Image>, mut servers: Vec<Server>, mut nodes: Vec<Node>) -> Self {
         sort(&mut servers);
         sort(&mut nodes);
-        Self { version, image: Rc::new(for_nodes(image)), servers, nodes }
+        Self { version, image, servers, nodes, ..Self::default() }
     }
 
     /// Reads a received snapshot; `None` if its version or its image is missing.
     pub fn from_message(message: FullSnapshot) -> Option<Self> {
-        Some(Self::new(message.version?, &message.image?, message.servers, message.nodes))
+        let image = Rc::new(with_sorted_lists(message.image?.into_part_for_nodes()));
+        Some(Self::new(message.version?, image, message.servers, message.nodes))
     }
 
     /// The message that carries the full snapshot.
@@ -122,9 +94,11 @@
     /// Keeps unchanged parts of the previous snapshot, so that they are not sent again: an equal image is shared, and a
     /// server that differs only in its report sequence number keeps the previous number.
     pub fn keep_unchanged(&mut self, old: &Snapshot) {
-        if self.image == old.image {
+        if Rc::ptr_eq(&self.image, &old.image) || self.image == old.image {
             self.image = old.image.clone();
+            self.image_sum = old.image_sum.clone();
         }
+        self.members_sum = OnceCell::new();
         let before: BTreeMap<&str, &Server> = old.servers.iter().map(|s| (s.name.as_str(), s)).collect();
         for server in &mut self.servers {
             let Some(previous) = before.get(server.name.as_str()) else { continue };
@@ -135,14 +109,41 @@
         }
     }
 
-    /// A checksum of the whole snapshot, its version included.
-    pub fn digest(&self) -> u32 {
-        let mut hasher = crc32fast::Hasher::new();
-        hasher.update(&self.version.encode_length_delimited_to_vec());
-        hasher.update(&self.image.encode_length_delimited_to_vec());
-        self.servers.iter().for_each(|s| hasher.update(&s.encode_length_delimited_to_vec()));
-        self.nodes.iter().for_each(|n| hasher.update(&n.encode_length_delimited_to_vec()));
-        hasher.finalize()
+    /// The digest of the image's lists.
+    fn image_sum(&self) -> DigestSum {
+        let sum = self.image_sum.get_or_init(|| {
+            let mut sum = DigestSum::default();
+            sum.add_all(&self.image.routes);
+            sum.add_all(&self.image.groups);
+            sum.add_all(&self.image.evacuated_zones);
+            sum.add_all(&self.image.elections);
+            sum.add_all(&self.image.logs);
+            sum.get()
+        });
+        DigestSum::from(*sum)
+    }
+
+    /// The digest of the servers and nodes.
+    fn members_sum(&self) -> DigestSum {
+        let sum = self.members_sum.get_or_init(|| {
+            let mut sum = DigestSum::default();
+            sum.add_all(&self.servers);
+            sum.add_all(&self.nodes);
+            sum.get()
+        });
+        DigestSum::from(*sum)
+    }
+
+    /// A digest of the whole snapshot, its version included. It takes no longer than the changes since a snapshot whose
+    /// digest is known.
+    pub fn digest(&self) -> u64 {
+        let mut buffer = self.version.encode_to_vec();
+        buffer.extend(self.image.sequence.to_le_bytes());
+        buffer.push(u8::from(self.image.limits.is_some()));
+        buffer.extend(self.image.limits.unwrap_or_default().encode_length_delimited_to_vec());
+        buffer.extend(self.image_sum().get().to_le_bytes());
+        buffer.extend(self.members_sum().get().to_le_bytes());
+        xxh3_64(&buffer)
     }
 
     /// The delta from this snapshot to a newer one.
@@ -150,21 +151,26 @@
         let mut delta = SnapshotDelta {
             base_version: Some(self.version),
             version: Some(new.version),
-            digest: new.digest(),
             sequence: new.image.sequence,
             limits: new.image.limits,
             ..SnapshotDelta::default()
         };
+        let mut sum = self.image_sum();
         if !Rc::ptr_eq(&self.image, &new.image) {
             let (old, new) = (&self.image, &new.image);
-            (delta.routes, delta.routes_removed) = diff(&old.routes, &new.routes);
-            (delta.groups, delta.groups_removed) = diff(&old.groups, &new.groups);
-            (delta.evacuated_zones, delta.evacuated_zones_removed) = diff(&old.evacuated_zones, &new.evacuated_zones);
-            (delta.elections, delta.elections_removed) = diff(&old.elections, &new.elections);
-            (delta.logs, delta.logs_removed) = diff(&old.logs, &new.logs);
+            (delta.routes, delta.routes_removed) = diff(&old.routes, &new.routes, &mut sum);
+            (delta.groups, delta.groups_removed) = diff(&old.groups, &new.groups, &mut sum);
+            (delta.evacuated_zones, delta.evacuated_zones_removed) =
+                diff(&old.evacuated_zones, &new.evacuated_zones, &mut sum);
+            (delta.elections, delta.elections_removed) = diff(&old.elections, &new.elections, &mut sum);
+            (delta.logs, delta.logs_removed) = diff(&old.logs, &new.logs, &mut sum);
         }
-        (delta.servers, delta.servers_removed) = diff(&self.servers, &new.servers);
-        (delta.nodes, delta.nodes_removed) = diff(&self.nodes, &new.nodes);
+        new.image_sum.get_or_init(|| sum.get());
+        let mut sum = self.members_sum();
+        (delta.servers, delta.servers_removed) = diff(&self.servers, &new.servers, &mut sum);
+        (delta.nodes, delta.nodes_removed) = diff(&self.nodes, &new.nodes, &mut sum);
+        new.members_sum.get_or_init(|| sum.get());
+        delta.digest = new.digest();
         delta
     }
 
@@ -186,20 +192,30 @@
 
     /// Applies a delta without checking its base or the result.
     fn apply_unchecked(&self, delta: &SnapshotDelta) -> Snapshot {
-        let mut new = Snapshot { version: delta.version.unwrap_or_default(), ..self.clone() };
-        if changes_image(&self.image, delta) {
-            let image = Rc::make_mut(&mut new.image);
+        let mut image = self.image.clone();
+        let mut image_sum = self.image_sum();
+        if changes_image(&image, delta) {
+            let image = Rc::make_mut(&mut image);
             image.sequence = delta.sequence;
             image.limits = delta.limits;
-            merge(&mut image.routes, &delta.routes, &delta.routes_removed);
-            merge(&mut image.groups, &delta.groups, &delta.groups_removed);
-            merge(&mut image.evacuated_zones, &delta.evacuated_zones, &delta.evacuated_zones_removed);
-            merge(&mut image.elections, &delta.elections, &delta.elections_removed);
-            merge(&mut image.logs, &delta.logs, &delta.logs_removed);
+            merge(&mut image.routes, &delta.routes, &delta.routes_removed, &mut image_sum);
+            merge(&mut image.groups, &delta.groups, &delta.groups_removed, &mut image_sum);
+            merge(&mut image.evacuated_zones, &delta.evacuated_zones, &delta.evacuated_zones_removed, &mut image_sum);
+            merge(&mut image.elections, &delta.elections, &delta.elections_removed, &mut image_sum);
+            merge(&mut image.logs, &delta.logs, &delta.logs_removed, &mut image_sum);
+        }
+        let (mut servers, mut nodes) = (self.servers.clone(), self.nodes.clone());
+        let mut members_sum = self.members_sum();
+        merge(&mut servers, &delta.servers, &delta.servers_removed, &mut members_sum);
+        merge(&mut nodes, &delta.nodes, &delta.nodes_removed, &mut members_sum);
+        Snapshot {
+            version: delta.version.unwrap_or_default(),
+            image,
+            servers,
+            nodes,
+            image_sum: known(&image_sum),
+            members_sum: known(&members_sum),
         }
-        merge(&mut new.servers, &delta.servers, &delta.servers_removed);
-        merge(&mut new.nodes, &delta.nodes, &delta.nodes_removed);
-        new
     }
 }
 
