A child behind by several versions is sent the deltas it lacks; servers' groups are looked up by an index

Cause: a process kept one delta, the newest. And control nodes below nodes with a slow link: with the leader silent, they took any candidate that answered, in their own zone first.

--- a/kit/tests/relay_snapshots.rs
+++ b/kit/tests/relay_snapshots.rs
@@ -212,6 +212,20 @@
     assert_eq!(*other_term.borrow(), [Body::FullSnapshot(full_snapshot(2))]);
 }
 
+/// A child that is some versions behind, as after a change of its parent, is sent the deltas that it lacks.
+#[test]
+fn a_child_several_versions_behind_receives_the_deltas_since() {
+    let sim = Sim::new(1);
+    let (root, _) = start_relay(&sim, "root", addr(1), Vec::new());
+    sim.run_for(ms(100));
+    let _child = scripted_child(&sim, "first", true, version(1));
+    (1..=5).for_each(|count| root.publish(snapshot(count)));
+    let behind = scripted_child(&sim, "behind", true, version(2));
+    assert_eq!(*behind.borrow(), [(2, 3), (3, 4), (4, 5)].map(|(from, to)| Body::SnapshotDelta(delta(from, to))));
+    let unknown = scripted_child(&sim, "unknown", true, SnapshotVersion { term: 0, count: 5 });
+    assert_eq!(*unknown.borrow(), [Body::FullSnapshot(full_snapshot(5))]);
+}
+
 /// Routes to nodes below a child are removed once no heartbeat of them arrives; a node that still sends them keeps its
 /// route.
 #[test]
--- a/spoke/src/health/mod.rs
+++ b/spoke/src/health/mod.rs
@@ -137,7 +137,7 @@
     /// Records the outcome of a position read in every list of the server's group.
     fn record_probe(&self, server: &str, succeeded: bool) {
         let view = self.journal.view();
-        let Some(group) = view.image.as_ref().and_then(|image| image.group_of(server)) else { return };
+        let Some(group) = view.group_of(server) else { return };
         self.lists.borrow_mut().record_probe(&group.name, self.env.now(), self.window(), server, succeeded);
     }
 
@@ -152,7 +152,7 @@
         let (group, lease, admission, election) = {
             let view = self.journal.view();
             let Some(image) = &view.image else { return };
-            let Some(group) = image.group_of(server) else { return };
+            let Some(group) = view.group_of(server) else { return };
             let lease =
                 view.primary_leases.get(&group.name).filter(|l| l.server == server && now < l.valid_until).cloned();
             let admission = image.log(server).map_or(0, |l| l.admission);
@@ -250,7 +250,7 @@
         let Some(position) = position else { return };
         let (group, is_primary, epoch_start) = {
             let view = self.journal.view();
-            let Some(group) = view.image.as_ref().and_then(|i| i.group_of(server)) else { return };
+            let Some(group) = view.group_of(server) else { return };
             // A position is the group's head only if no other primary's commit could be acknowledged when it was read.
             let lease = view
                 .primary_leases
--- a/spoke/src/routing/mod.rs
+++ b/spoke/src/routing/mod.rs
@@ -162,8 +162,7 @@
     pub fn is_usable(&self, target: &Target) -> bool {
         let is_primary = matches!(target.condition, Condition::PrimaryLease { .. });
         let view = self.journal.view();
-        let allowed =
-            view.image.as_ref().and_then(|i| i.group_of(&target.server)).is_some_and(|g| g.name == target.group);
+        let allowed = view.group_of(&target.server).is_some_and(|g| g.name == target.group);
         (allowed || self.disabled.no_group_check) && !self.is_excluded(&view, &target.server, is_primary)
     }
 
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -165,7 +165,7 @@
         {
             let view = journal.view();
             let mut by_server = self.by_server.borrow_mut();
-            let in_group = |server: &str| view.image.as_ref().is_some_and(|i| i.group_of(server).is_some());
+            let in_group = |server: &str| view.group_of(server).is_some();
             by_server.retain(|name, pool| {
                 let addr = view.servers.get(name).map(|s| s.addr.as_str());
                 let keep = in_group(name) && addr == Some(&pool.addr.to_string());
@@ -178,7 +178,7 @@
             for (name, server) in view.servers.iter().filter(|(name, _)| in_group(name)) {
                 let Ok(addr) = server.addr.parse() else { continue };
                 if !by_server.contains_key(name) {
-                    let confirming_group = view.image.as_ref().and_then(|i| i.group_of(name)).filter(|g| g.confirms);
+                    let confirming_group = view.group_of(name).filter(|g| g.confirms);
                     let protocol = match (confirming_group, &self.protocol) {
                         (Some(group), Some(protocol)) => Some((protocol.clone(), group.name.clone())),
                         (Some(_), None) => continue,
--- a/spoke/src/view/apply.rs
+++ b/spoke/src/view/apply.rs
@@ -1,21 +1,33 @@
 //! How each event changes the view.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
-use wire::Snapshot;
+use wire::{Image, Snapshot};
 
 use super::{Event, PrimaryLease, Server, Share, View};
 
 /// How many acknowledged heartbeats are kept until their snapshot version arrives.
 const MAX_UNCONFIRMED_ACKS: usize = 32;
 
+/// By server, the position of its group in the image.
+fn group_positions(image: &Image) -> BTreeMap<String, usize> {
+    let of_group = |(position, group): (usize, &wire::Group)| {
+        group.servers.iter().map(move |server| (server.clone(), position)).collect::<Vec<_>>()
+    };
+    image.groups.iter().enumerate().rev().flat_map(of_group).collect()
+}
+
 impl View {
     /// Applies one event. Returns a line for the journal if the event changed something.
     pub(super) fn apply(&mut self, now: Duration, event: Event) -> Option<String> {
         match event {
             Event::Snapshot(snapshot) => self.apply_snapshot(now, &snapshot),
             Event::HeartbeatAck { ack, sent_at } => {
-                let leases: std::collections::BTreeMap<_, _> = ack
+                let leases: BTreeMap<_, _> = ack
                     .primary_leases
                     .into_iter()
                     .map(|grant| {
@@ -89,14 +101,18 @@
             };
             self.servers.insert(server.name.clone(), new);
         }
-        self.servers
-            .retain(|name, _| image.group_of(name).is_some() || snapshot.servers.iter().any(|s| s.name == *name));
+        if !self.image.as_ref().is_some_and(|old| Rc::ptr_eq(old, image)) {
+            self.group_positions = group_positions(image);
+            self.image = Some(image.clone());
+        }
+        let published: BTreeSet<&str> = snapshot.servers.iter().map(|server| server.name.as_str()).collect();
+        let group_positions = &self.group_positions;
+        self.servers.retain(|name, _| group_positions.contains_key(name) || published.contains(name.as_str()));
         self.evacuated_since.retain(|zone, _| image.evacuated_zones.contains(zone));
         for zone in &image.evacuated_zones {
             self.evacuated_since.entry(zone.clone()).or_insert(now);
         }
         let line = format!("news {}.{} sequence {}", version.term, version.count, image.sequence);
-        self.image = Some(image.clone());
         self.remove_expired_shares(now);
         self.update_confirmation();
         Some(line)
@@ -104,9 +120,8 @@
 
     /// Removes expired shares of servers that belong to no group any more.
     fn remove_expired_shares(&mut self, now: Duration) {
-        let image = self.image.as_ref();
-        let in_group = |server: &str| image.is_some_and(|image| image.group_of(server).is_some());
-        self.shares.retain(|server, share| now < share.valid_until || in_group(server));
+        let group_positions = &self.group_positions;
+        self.shares.retain(|server, share| now < share.valid_until || group_positions.contains_key(server));
     }
 
     /// Moves `confirmed_at` to the latest heartbeat whose acknowledged snapshot version the node has.
--- a/spoke/src/view/mod.rs
+++ b/spoke/src/view/mod.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{notify::Notify, runtime::Env};
-use wire::{Image, NodeHeartbeatAck, Route, Snapshot, SnapshotVersion};
+use wire::{Group, Image, NodeHeartbeatAck, Route, Snapshot, SnapshotVersion};
 
 /// How many lines the journal keeps for inspection.
 const MAX_JOURNAL_LINES: usize = 512;
@@ -75,11 +75,18 @@
     pub confirmed_at: Option<Duration>,
     /// How many times an acknowledgement ended a primary lease.
     pub lost_leases: u64,
+    /// By server, the position of its group in the image.
+    group_positions: BTreeMap<String, usize>,
     /// Acknowledged heartbeats whose snapshot version the node does not have yet: when each was sent, and the version.
     unconfirmed_acks: Vec<(Duration, SnapshotVersion)>,
 }
 
 impl View {
+    /// The group that a server belongs to; `None` if it is being removed.
+    pub fn group_of(&self, server: &str) -> Option<&Group> {
+        self.image.as_ref()?.groups.get(*self.group_positions.get(server)?)
+    }
+
     /// The route with this name. Snapshots keep the routes sorted by name.
     pub fn route(&self, name: &str) -> Option<&Route> {
         let routes = &self.image.as_ref()?.routes;
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -109,8 +109,10 @@
         }
         // A control node may choose a full parent, such as the leader, so that the nodes of its zone stay near the
         // root.
+        // It chooses a node only if no control node answers: below a node with a slow link, all that it serves waits.
         let rank = |candidate: &Candidate| {
             (
+                self.identity.is_control_node && !candidate.hello.is_control_node,
                 candidate.status.full && !self.identity.is_control_node,
                 candidate.hello.zone != self.identity.zone,
                 candidate.status.depth,
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -3,6 +3,7 @@
 
 mod forwarding;
 mod join;
+mod recent_deltas;
 mod search;
 mod serve;
 mod snapshots;
@@ -28,7 +29,7 @@
 
 use crate::{
     Body, ForwardedRequest, ForwardedResponse, Hello, LinkWriter, NodeHeartbeat, NodeHeartbeatAck, ParentStatus,
-    Snapshot, SnapshotDelta,
+    Snapshot,
 };
 
 pub use search::SearchCounters;
@@ -114,8 +115,8 @@
     routes: RefCell<BTreeMap<String, (u64, Duration)>>,
     parent: RefCell<Option<Parent>>,
     snapshot: RefCell<Option<Rc<Snapshot>>>,
-    /// The delta to the newest snapshot from the one before.
-    newest_delta: RefCell<Option<Rc<SnapshotDelta>>>,
+    /// The deltas that led to the newest snapshot.
+    recent_deltas: RefCell<recent_deltas::RecentDeltas>,
     /// When the full snapshot was last requested from the parent; `None` once it has arrived.
     snapshot_requested_at: Cell<Option<Duration>>,
     pub snapshot_counters: SnapshotCounters,
@@ -158,7 +159,7 @@
             routes: RefCell::default(),
             parent: RefCell::default(),
             snapshot: RefCell::default(),
-            newest_delta: RefCell::default(),
+            recent_deltas: RefCell::default(),
             snapshot_requested_at: Cell::default(),
             snapshot_counters: SnapshotCounters::default(),
             search_counters: SearchCounters::default(),
--- a/wire/src/relay/snapshots.rs
+++ b/wire/src/relay/snapshots.rs
@@ -8,6 +8,9 @@
     Body, FullSnapshot, Message, Snapshot, SnapshotDelta, SnapshotRequest, SnapshotVersion, snapshot::DeltaError,
 };
 
+/// A child that lacks deltas of more bytes than this is sent the full snapshot.
+const MAX_CATCH_UP_BYTES: usize = 256 << 10;
+
 /// The snapshot that was last sent to a child.
 #[derive(Clone, Copy)]
 pub(super) struct SentSnapshot {
@@ -110,26 +113,29 @@
             None if self.children.borrow().is_empty() => None,
             None => Some(old.delta_to(&new)),
         };
-        *self.newest_delta.borrow_mut() = delta.map(Rc::new);
+        match delta {
+            Some(delta) => self.recent_deltas.borrow_mut().push(delta),
+            None => self.recent_deltas.borrow_mut().clear(),
+        }
         *self.snapshot.borrow_mut() = Some(new.clone());
         self.handler().on_snapshot(&new);
         let children: Vec<u64> = self.children.borrow().keys().copied().collect();
         children.into_iter().for_each(|id| self.update_child(id));
     }
 
-    /// Sends a child the newest snapshot, or the delta to it, if the child is known to hold an older one.
+    /// Sends a child what it lacks, if it is known to hold an older snapshot: the deltas since then, or the full
+    /// snapshot if they are not kept any more.
     fn update_child(&self, id: u64) {
         let Some(newest) = self.latest_snapshot() else { return };
         let mut children = self.children.borrow_mut();
         let Some(child) = children.get_mut(&id) else { return };
         let Some(sent) = child.sent_snapshot.filter(|sent| sent.version < newest.version) else { return };
-        let delta = self.newest_delta.borrow().clone();
-        let delta = delta.filter(|d| child.accepts_deltas && d.base_version == Some(sent.version));
-        let body = match delta {
-            Some(delta) => Body::SnapshotDelta((*delta).clone()),
-            None => Body::FullSnapshot(newest.to_message()),
+        let deltas = self.recent_deltas.borrow().since(sent.version, MAX_CATCH_UP_BYTES);
+        let bodies = match deltas.filter(|_| child.accepts_deltas) {
+            Some(deltas) => deltas.iter().map(|delta| Body::SnapshotDelta((**delta).clone())).collect(),
+            None => vec![Body::FullSnapshot(newest.to_message())],
         };
-        if child.writer.send(body) {
+        if bodies.into_iter().all(|body| child.writer.send(body)) {
             child.sent_snapshot = Some(SentSnapshot { version: newest.version, at: self.env.now() });
         }
     }
