--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -422,9 +422,11 @@
         let group_leadership = self.group_leadership.borrow();
         let holder = Holder { node: &heartbeat.name, boot_id: heartbeat.boot_id, nonce: heartbeat.nonce };
         let mut leases = Vec::new();
+        let confirms: BTreeMap<&str, bool> =
+            image.groups.iter().map(|group| (group.name.as_str(), group.confirms)).collect();
         for (group, leadership) in group_leadership.iter().filter(|(_, leadership)| leadership.granting) {
-            let server = match image.groups.iter().find(|candidate| candidate.name == *group) {
-                Some(candidate) if candidate.confirms => leadership.server.clone(),
+            let server = match confirms.get(group.as_str()) {
+                Some(true) => leadership.server.clone(),
                 _ => match image.election(group) {
                     Some(election) if election.epoch == leadership.epoch => election.server.clone(),
                     _ => continue,
--- a/hub/src/leases.rs
+++ b/hub/src/leases.rs
@@ -73,6 +73,47 @@
     parts: BTreeMap<String, u64>,
 }
 
+/// The shares of one server's connections that may be outstanding.
+#[derive(Default)]
+struct ServerShares {
+    /// By node.
+    leases: BTreeMap<String, ShareLease>,
+    /// The sum of the counts, those of expired leases included that are not removed yet.
+    total: u64,
+}
+
+impl ServerShares {
+    /// Changes a node's lease, which is added if there is none. Looks a node up before it copies the name, as this runs
+    /// for each server with each heartbeat.
+    fn update<T>(&mut self, node: &str, change: impl FnOnce(&mut ShareLease) -> T) -> T {
+        if !self.leases.contains_key(node) {
+            self.leases.insert(node.into(), ShareLease::default());
+        }
+        let lease = self.leases.get_mut(node).expect("the lease was inserted");
+        let before = lease.count;
+        let result = change(lease);
+        self.total = self.total - before + lease.count;
+        result
+    }
+
+    /// Keeps the leases that fulfil a condition.
+    fn retain(&mut self, mut condition: impl FnMut(&str, &ShareLease) -> bool) {
+        self.leases.retain(|node, lease| condition(node, lease));
+        self.total = self.leases.values().map(|lease| lease.count).sum();
+    }
+
+    /// How many of `wanted` connections other nodes leave over of a server's `cap`.
+    fn left_over(&self, node: &str, wanted: u64, cap: u64, now: Duration) -> u64 {
+        let own = self.leases.get(node).map_or(0, |lease| lease.count);
+        if wanted <= cap.saturating_sub(self.total - own) {
+            return wanted;
+        }
+        // Expired leases may count in the total.
+        let others = self.leases.iter().filter(|(name, lease)| *name != node && now < lease.expires_at);
+        wanted.min(cap.saturating_sub(others.map(|(_, lease)| lease.count).sum()))
+    }
+}
+
 /// All granted leases, with their holders and expiry times.
 #[derive(Default)]
 pub struct LeaseTable {
@@ -80,7 +121,7 @@
     unknown_shares_until: Duration,
     /// Until then leases on primaries that an earlier leader granted may be in force, besides those in the table.
     unknown_primaries_until: Duration,
-    shares: BTreeMap<String, BTreeMap<String, ShareLease>>,
+    shares: BTreeMap<String, ServerShares>,
     /// Computed at intervals for all nodes together rather than for each heartbeat.
     divisions: BTreeMap<String, Division>,
     primaries: BTreeMap<String, BTreeMap<String, PrimaryLease>>,
@@ -130,18 +171,20 @@
     /// the same process of the node; those of an earlier process expire.
     pub fn record_heartbeat(&mut self, heartbeat: &NodeHeartbeat, now: Duration) {
         for held in &heartbeat.shares {
-            let lease = self.shares.entry(held.server.clone()).or_default().entry(heartbeat.name.clone()).or_default();
-            lease.wanted = held.wanted;
-            lease.wanted_at = now;
-            // A heartbeat describes the past: only a count that the node held after the latest acknowledgement reduces
-            // the outstanding count.
-            if held.count < lease.count && heartbeat.boot_id == lease.boot_id && heartbeat.last_ack_nonce >= lease.nonce
-            {
-                lease.count = held.count;
-            }
-            if now < self.unknown_shares_until {
-                lease.count = lease.count.max(held.count);
-            }
+            let inherited_unknown = now < self.unknown_shares_until;
+            self.shares_of(&held.server).update(&heartbeat.name, |lease| {
+                lease.wanted = held.wanted;
+                lease.wanted_at = now;
+                // A heartbeat describes the past: only a count that the node held after the latest acknowledgement
+                // reduces the outstanding count.
+                let is_later = heartbeat.boot_id == lease.boot_id && heartbeat.last_ack_nonce >= lease.nonce;
+                if held.count < lease.count && is_later {
+                    lease.count = held.count;
+                }
+                if inherited_unknown {
+                    lease.count = lease.count.max(held.count);
+                }
+            });
         }
         for (group, holders) in &mut self.primaries {
             let Some(lease) = holders.get(&heartbeat.name).filter(|lease| lease.boot_id == heartbeat.boot_id) else {
@@ -154,10 +197,8 @@
             }
         }
         if heartbeat.leaving {
-            for holders in self.shares.values_mut() {
-                if holders.get(&heartbeat.name).is_some_and(|lease| lease.boot_id == heartbeat.boot_id) {
-                    holders.remove(&heartbeat.name);
-                }
+            for shares in self.shares.values_mut() {
+                shares.retain(|node, lease| node != heartbeat.name || lease.boot_id != heartbeat.boot_id);
             }
         }
     }
@@ -198,34 +239,38 @@
         server_enforces_cap: bool,
     ) -> Share {
         let inherited_unknown = now < self.unknown_shares_until;
-        let leases = self.shares.entry(server.into()).or_default();
-        let lease = leases.entry(holder.node.into()).or_default();
-        if now >= lease.expires_at && !inherited_unknown {
-            lease.count = 0;
-        }
-        let (held, wanted) = (lease.count, lease.wanted.max(1));
+        let (held, wanted) = self.shares_of(server).update(holder.node, |lease| {
+            if now >= lease.expires_at && !inherited_unknown {
+                lease.count = 0;
+            }
+            (lease.count, lease.wanted.max(1))
+        });
         let (fair_count, sharers) = self.fair_share(server, holder.node, cap, now, until);
         let scarce = sharers > cap;
         let count = match (inherited_unknown, server_enforces_cap) {
             (_, true) if scarce => wanted.min((cap / SCARCE_CAP_DIVISOR).max(1)),
-            (false, _) => fair_count.min(cap.saturating_sub(self.held_by_others(server, holder.node, now))),
+            (false, _) => self.shares_of(server).left_over(holder.node, fair_count, cap, now),
             (true, false) => held.min(cap),
             // What other nodes hold is not known yet.
             (true, true) => held.max(fair_count).min(cap),
         };
-        let lease = self.shares.entry(server.into()).or_default().entry(holder.node.into()).or_default();
-        // A granted count stays outstanding until the node reports that it holds less, or until the lease has expired.
-        lease.count = lease.count.max(count);
-        lease.expires_at = until;
-        lease.nonce = holder.nonce;
-        lease.boot_id = holder.boot_id;
+        self.shares_of(server).update(holder.node, |lease| {
+            // A granted count stays outstanding until the node reports that it holds less, or until the lease has
+            // expired.
+            lease.count = lease.count.max(count);
+            lease.expires_at = until;
+            lease.nonce = holder.nonce;
+            lease.boot_id = holder.boot_id;
+        });
         Share { count, scarce, sharers }
     }
 
-    /// How many connections of a server other nodes may hold.
-    fn held_by_others(&self, server: &str, node: &str, now: Duration) -> u64 {
-        let leases = self.shares.get(server).into_iter().flatten().filter(|(name, _)| *name != node);
-        leases.filter(|(_, lease)| now < lease.expires_at).map(|(_, lease)| lease.count).sum()
+    /// The shares of a server.
+    fn shares_of(&mut self, server: &str) -> &mut ServerShares {
+        if !self.shares.contains_key(server) {
+            self.shares.insert(server.into(), ServerShares::default());
+        }
+        self.shares.get_mut(server).expect("the server was inserted")
     }
 
     /// A node's fair share of a server's connections, and the number of nodes among which they are divided.
@@ -246,9 +291,10 @@
     /// others.
     fn divide(&mut self, server: &str, cap: u64, now: Duration, until: Duration) -> Division {
         let lease_duration = until - now;
-        let leases = self.shares.entry(server.into()).or_default();
-        leases.retain(|_, lease| now < lease.expires_at.max(lease.wanted_at + lease_duration));
-        let demands: Vec<(&str, u64)> = leases.iter().map(|(name, lease)| (name.as_str(), lease.wanted)).collect();
+        let shares = self.shares_of(server);
+        shares.retain(|_, lease| now < lease.expires_at.max(lease.wanted_at + lease_duration));
+        let demands: Vec<(&str, u64)> =
+            shares.leases.iter().map(|(name, lease)| (name.as_str(), lease.wanted)).collect();
         let rotation = now.as_millis() / lease_duration.as_millis().max(1);
         let scarce = demands.len() as u64 > cap;
         let parts = if scarce { divide_in_rotation(&demands, cap, rotation) } else { divide_fairly(&demands, cap) };
@@ -260,7 +306,7 @@
         let shares = self
             .shares
             .iter()
-            .flat_map(|(server, leases)| leases.iter().map(move |(node, lease)| (server, node, lease)));
+            .flat_map(|(server, shares)| shares.leases.iter().map(move |(node, lease)| (server, node, lease)));
         shares
             .filter(|(_, _, lease)| now < lease.expires_at)
             .map(|(server, node, lease)| (server.clone(), node.clone(), lease.count))
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -15,7 +15,7 @@
     Election, Group, GroupMembership, Image, LegacyOrder, Limits, Member, Route, ServerAddress, ServerLog,
 };
 pub use image_delta::{ImageDelta, RouteRun};
-pub use link::{LinkError, LinkReader, LinkWriter, decode, open};
+pub use link::{EncodedFrame, LinkError, LinkReader, LinkWriter, decode, open};
 pub use message::*;
 pub use prost::Message;
 pub use snapshot::Snapshot;
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -1,7 +1,7 @@
 //! Links between the project's own processes: frames with a checksum over a byte stream.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::VecDeque,
     future::poll_fn,
     io,
@@ -66,9 +66,9 @@
 /// The frames of a link that wait to be written.
 struct SendQueue {
     /// Small frames, in the order in which they were queued.
-    urgent: RefCell<VecDeque<Vec<u8>>>,
+    urgent: RefCell<VecDeque<Rc<[u8]>>>,
     /// Pieces of large frames, and all snapshots and their deltas, in the order in which they were queued.
-    bulk: RefCell<VecDeque<Vec<u8>>>,
+    bulk: RefCell<VecDeque<Rc<[u8]>>>,
     accepts_pieces: Rc<Cell<bool>>,
     queue_changed: Notify,
     /// The stream has failed: no more frames can be sent.
@@ -84,7 +84,7 @@
     }
 
     /// Takes the next frame or piece to write; small frames come first.
-    fn next(&self) -> Option<Vec<u8>> {
+    fn next(&self) -> Option<Rc<[u8]>> {
         let urgent = self.urgent.borrow_mut().pop_front();
         urgent.or_else(|| self.bulk.borrow_mut().pop_front())
     }
@@ -143,25 +143,48 @@
 impl LinkWriter {
     /// Queues a frame; false if it is too large, the link has failed, or too many frames are queued already.
     pub fn send(&self, body: Body) -> bool {
+        !self.0.closed.get() && EncodedFrame::new(body).is_some_and(|frame| self.send_encoded(&frame))
+    }
+
+    /// Like [`LinkWriter::send`], for a frame that goes over several links.
+    pub fn send_encoded(&self, frame: &EncodedFrame) -> bool {
         if self.0.closed.get() {
             return false;
         }
-        // A delta builds on the snapshot before it, so snapshots and deltas must not overtake each other.
-        let in_order = matches!(body, Body::FullSnapshot(_) | Body::SnapshotDelta(_));
-        let Some(data) = encode(body) else { return false };
-        if self.0.accepts_pieces.get() && data.len() > MAX_PIECE_BYTES {
-            let pieces = split(&data).into_iter().filter_map(|piece| encode(Body::Piece(piece)));
-            enqueue(&self.0.bulk, pieces) && self.0.wake()
-        } else if in_order {
-            enqueue(&self.0.bulk, [data]) && self.0.wake()
+        if self.0.accepts_pieces.get() && frame.data.len() > MAX_PIECE_BYTES {
+            enqueue(&self.0.bulk, frame.pieces()) && self.0.wake()
+        } else if frame.in_order {
+            enqueue(&self.0.bulk, [frame.data.clone()]) && self.0.wake()
         } else {
-            enqueue(&self.0.urgent, [data]) && self.0.wake()
+            enqueue(&self.0.urgent, [frame.data.clone()]) && self.0.wake()
         }
     }
 }
 
+/// A frame as it is written to links. It is encoded, compressed and split once, for however many links it is sent over.
+pub struct EncodedFrame {
+    data: Rc<[u8]>,
+    pieces: OnceCell<Vec<Rc<[u8]>>>,
+    /// A delta builds on the snapshot before it, so snapshots and deltas must not overtake each other.
+    in_order: bool,
+}
+
+impl EncodedFrame {
+    /// Encodes a frame; `None` if it is too large.
+    pub fn new(body: Body) -> Option<Self> {
+        let in_order = matches!(body, Body::FullSnapshot(_) | Body::SnapshotDelta(_));
+        Some(Self { data: encode(body)?.into(), pieces: OnceCell::new(), in_order })
+    }
+
+    /// The frames that carry its pieces.
+    fn pieces(&self) -> impl Iterator<Item = Rc<[u8]>> {
+        let make = || split(&self.data).into_iter().filter_map(|piece| Some(encode(Body::Piece(piece))?.into()));
+        self.pieces.get_or_init(|| make().collect()).iter().cloned()
+    }
+}
+
 /// Appends frames to a queue; false if too many are queued already.
-fn enqueue(queue: &RefCell<VecDeque<Vec<u8>>>, frames: impl IntoIterator<Item = Vec<u8>>) -> bool {
+fn enqueue(queue: &RefCell<VecDeque<Rc<[u8]>>>, frames: impl IntoIterator<Item = Rc<[u8]>>) -> bool {
     let mut queue = queue.borrow_mut();
     let has_room = queue.len() < MAX_QUEUED_FRAMES;
     if has_room {
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -28,8 +28,8 @@
 use futures::channel::oneshot;
 
 use crate::{
-    Body, ForwardedRequest, ForwardedResponse, Hello, LinkWriter, NodeHeartbeat, NodeHeartbeatAck, ParentStatus,
-    Snapshot,
+    Body, EncodedFrame, ForwardedRequest, ForwardedResponse, Hello, LinkWriter, NodeHeartbeat, NodeHeartbeatAck,
+    ParentStatus, Snapshot, SnapshotVersion,
 };
 
 pub use search::SearchCounters;
@@ -117,6 +117,8 @@
     snapshot: RefCell<Option<Rc<Snapshot>>>,
     /// The deltas that led to the newest snapshot.
     recent_deltas: RefCell<recent_deltas::RecentDeltas>,
+    /// The frame with the full newest snapshot, once it was sent.
+    full_frame: RefCell<Option<(SnapshotVersion, Rc<EncodedFrame>)>>,
     /// When the full snapshot was last requested from the parent; `None` once it has arrived.
     snapshot_requested_at: Cell<Option<Duration>>,
     pub snapshot_counters: SnapshotCounters,
@@ -160,6 +162,7 @@
             parent: RefCell::default(),
             snapshot: RefCell::default(),
             recent_deltas: RefCell::default(),
+            full_frame: RefCell::default(),
             snapshot_requested_at: Cell::default(),
             snapshot_counters: SnapshotCounters::default(),
             search_counters: SearchCounters::default(),
--- a/wire/src/relay/snapshots.rs
+++ b/wire/src/relay/snapshots.rs
@@ -5,7 +5,8 @@
 
 use super::Relay;
 use crate::{
-    Body, FullSnapshot, Message, Snapshot, SnapshotDelta, SnapshotRequest, SnapshotVersion, snapshot::DeltaError,
+    Body, EncodedFrame, FullSnapshot, Message, Snapshot, SnapshotDelta, SnapshotRequest, SnapshotVersion,
+    snapshot::DeltaError,
 };
 
 /// A child that lacks deltas of more bytes than this is sent the full snapshot.
@@ -117,12 +118,26 @@
             Some(delta) => self.recent_deltas.borrow_mut().push(delta),
             None => self.recent_deltas.borrow_mut().clear(),
         }
+        *self.full_frame.borrow_mut() = None;
         *self.snapshot.borrow_mut() = Some(new.clone());
         self.handler().on_snapshot(&new);
         let children: Vec<u64> = self.children.borrow().keys().copied().collect();
         children.into_iter().for_each(|id| self.update_child(id));
     }
 
+    /// The frame with the full newest snapshot; `None` if it is too large.
+    fn full_frame(&self, newest: &Snapshot) -> Option<Rc<EncodedFrame>> {
+        let mut cached = self.full_frame.borrow_mut();
+        if let Some((version, frame)) = &*cached
+            && *version == newest.version
+        {
+            return Some(frame.clone());
+        }
+        let frame = Rc::new(EncodedFrame::new(Body::FullSnapshot(newest.to_message()))?);
+        *cached = Some((newest.version, frame.clone()));
+        Some(frame)
+    }
+
     /// Sends a child what it lacks, if it is known to hold an older snapshot: the deltas since then, or the full
     /// snapshot if they are not kept any more.
     fn update_child(&self, id: u64) {
@@ -131,11 +146,13 @@
         let Some(child) = children.get_mut(&id) else { return };
         let Some(sent) = child.sent_snapshot.filter(|sent| sent.version < newest.version) else { return };
         let deltas = self.recent_deltas.borrow().since(sent.version, MAX_CATCH_UP_BYTES);
-        let bodies = match deltas.filter(|_| child.accepts_deltas) {
-            Some(deltas) => deltas.iter().map(|delta| Body::SnapshotDelta((**delta).clone())).collect(),
-            None => vec![Body::FullSnapshot(newest.to_message())],
+        let queued = match deltas.filter(|_| child.accepts_deltas) {
+            Some(deltas) => {
+                deltas.iter().all(|delta| delta.frame().is_some_and(|frame| child.writer.send_encoded(frame)))
+            }
+            None => self.full_frame(&newest).is_some_and(|frame| child.writer.send_encoded(&frame)),
         };
-        if bodies.into_iter().all(|body| child.writer.send(body)) {
+        if queued {
             child.sent_snapshot = Some(SentSnapshot { version: newest.version, at: self.env.now() });
         }
     }
@@ -159,7 +176,7 @@
         let Some(newest) = self.latest_snapshot().filter(|newest| version < newest.version) else { return };
         let mut children = self.children.borrow_mut();
         let Some(child) = children.get_mut(&id) else { return };
-        if child.writer.send(Body::FullSnapshot(newest.to_message())) {
+        if self.full_frame(&newest).is_some_and(|frame| child.writer.send_encoded(&frame)) {
             child.sent_snapshot = Some(SentSnapshot { version: newest.version, at: self.env.now() });
         }
     }
