A replica that deregistered stays on its group's list until it has ended

Cause: a deregistered server was taken off the list once another held all that the primary held after the DELETE. But it confirms later commits too, until it ends, and the election did not read it.

Change: it is taken off only once it has ended: nobody listens at its address, or another server does (WRONGNODE was taken for a server that is full), or it has not answered for as long as a server may until it counts as gone; and the primary was read after that.

--- a/hub/src/leadership/registration.rs
+++ b/hub/src/leadership/registration.rs
@@ -1,9 +1,11 @@
 //! Registration of servers in the groups whose servers confirm commits.
 
+use std::time::Duration;
+
 use base::{ErrorKind, runtime::Component};
 use wire::{Group, GroupMembership, Image, ServerAddress};
 
-use super::Leadership;
+use super::{Leadership, sampling::ServerStatus};
 
 /// A server that reported itself and is to be added to its group.
 struct Registration {
@@ -65,8 +67,9 @@
         }
     }
 
-    /// The group and name of a deregistered server that can't be the only one to hold an entry: the primary was read
-    /// since, and another remaining server holds everything that the primary held then.
+    /// The group and name of a deregistered server that can't be the only one to hold an entry: it has ended, the
+    /// primary was read since, and another remaining server holds everything that the primary held then. Until it ends,
+    /// a server goes on confirming commits.
     fn removable_server(&self, group: &Group) -> Option<(String, String)> {
         let records = self.servers.borrow();
         let statuses = self.server_statuses.borrow();
@@ -77,6 +80,8 @@
         let departed = group.servers.iter().find(|server| {
             **server != primary
                 && records.get(*server).is_some_and(|record| record.deregistered && record.last_report < requested_at)
+                && (self.disabled.drop_deregistered
+                    || statuses.get(*server).is_none_or(|status| self.has_ended(status, requested_at)))
         })?;
         let holds_everything = |server: &&String| {
             **server != primary
@@ -90,6 +95,13 @@
         Some((group.name.clone(), departed.clone()))
     }
 
+    /// Whether a server had ended at `at`: nobody listened at its address, or it had not answered for so long that it
+    /// counts as gone.
+    fn has_ended(&self, status: &ServerStatus, at: Duration) -> bool {
+        let last_response = status.last_response.unwrap_or_default();
+        last_response < at && (status.refusals > 1 || last_response + self.bounds.server_gone_after() < at)
+    }
+
     /// The servers to be added to a group, each with the one that it replaces.
     fn pending_registrations(&self, group: &Group) -> Vec<Registration> {
         let records = self.servers.borrow();
--- a/kit/tests/elections.rs
+++ b/kit/tests/elections.rs
@@ -111,6 +111,41 @@
     deployment
 }
 
+/// A replica deregisters without draining and serves on; it alone confirms commits while the other receives nothing, and
+/// the primary fails (review/3).
+fn leaves_without_draining(seed: u64, build: PlatformDeploymentOptions) -> Rc<PlatformDeployment> {
+    let deployment = PlatformDeployment::new(seed, build);
+    deployment.configure_and_wait();
+    deployment.run_timeline_when_configured(
+        "at  s00   s01  s02
+         9   .     .    deregister
+         14  .     deaf .
+         15  dark  .    .
+         18  .     .    kill
+         20  .     hear .
+         22  start .    .
+         30  .     .    .",
+    );
+    deployment
+}
+
+#[test]
+fn a_replica_that_deregistered_and_serves_on_keeps_its_commits() {
+    for seed in SEEDS {
+        let deployment = leaves_without_draining(seed, PlatformDeploymentOptions::default());
+        let found = deployment.findings();
+        assert!(found.is_empty(), "seed {seed}: {found:?}\n{}", deployment.formatted_log());
+        let (last, served) = last_served(&deployment);
+        assert!(served > 0, "seed {seed}: nothing is served at the end, second {last}\n{}", deployment.formatted_log());
+    }
+    let loses = |seed: u64| {
+        let mut build = PlatformDeploymentOptions::default();
+        build.hub.drop_deregistered = true;
+        leaves_without_draining(seed, build).findings().iter().any(|f| f.contains("is lost"))
+    };
+    assert!(SEEDS.into_iter().any(loses), "no commit was lost without the guard");
+}
+
 #[test]
 fn a_replacement_server_keeps_its_commit_when_the_primary_drains() {
     guarded(replacement_while_the_primary_drains);
