A name that is not prepared is answered with an error

Seen (review, a finding without a case): INVOKE of a name that is not prepared ended the session's task with a panic (RefCell already borrowed), and the client got no answer. The temporary of the match's scrutinee lived on in its arms. The class was looked for in spoke and platform (match and if let on a borrow): two others are left, whose bodies only spawn a task.

--- a/spoke/src/protocol/client_session.rs
+++ b/spoke/src/protocol/client_session.rs
@@ -126,9 +126,9 @@
                 empty_response()
             }
             StatementKind::Read | StatementKind::Write | StatementKind::Execute => {
-                let is_write = match session.borrow().is_write(&statement) {
-                    Some(is_write) => is_write,
-                    None => return self.fail(session, StatementError::not_committed(ErrorKind::UnknownPreparedName)),
+                let is_write = session.borrow().is_write(&statement);
+                let Some(is_write) = is_write else {
+                    return self.fail(session, StatementError::not_committed(ErrorKind::UnknownPreparedName));
                 };
                 if state == TransactionState::Open {
                     return self.protocol_statement_in_transaction(session, &statement, is_write).await;
