--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -232,6 +232,13 @@
                 servers.entry(server.server.clone()).or_insert_with(|| ServerRecord::from_address(server, group, now));
             }
         }
+        for departure in self.consensus.image().iter().flat_map(|image| &image.departures) {
+            if let Some(record) = servers.get_mut(&departure.server) {
+                record.draining = true;
+                record.deregistered |= departure.deregistered;
+                record.gone |= departure.deregistered;
+            }
+        }
         drop(servers);
         self.publish();
     }
@@ -313,6 +320,11 @@
                 // A later report has arrived already.
                 return;
             }
+            let deregistered = servers.get(&report.server).is_some_and(|previous| previous.deregistered);
+            if deregistered && !report.group.is_empty() && !self.disabled.forget_departures {
+                // It was sent before the server deregistered; another that takes its place has a name of its own.
+                return;
+            }
             let record = ServerRecord::from_report(report, now);
             let previous = servers.insert(report.server.clone(), record);
             previous.is_none_or(|previous| !previous.same_published(&servers[&report.server]))
--- a/hub/src/leadership/registration.rs
+++ b/hub/src/leadership/registration.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{ErrorKind, runtime::Component};
-use wire::{Group, GroupMembership, Image, ServerAddress};
+use wire::{Departure, Group, GroupMembership, Image, ServerAddress};
 
 use super::{Leadership, sampling::ServerStatus};
 
@@ -50,7 +50,8 @@
             }
             let registrations: Vec<Registration> = open().flat_map(|group| self.pending_registrations(group)).collect();
             let complete = self.newly_complete(&image);
-            if registrations.is_empty() && complete.is_empty() {
+            let departures = self.unrecorded_departures(&image);
+            if registrations.is_empty() && complete.is_empty() && departures.is_empty() {
                 continue;
             }
             let mut log_lines: Vec<String> = registrations.iter().map(Registration::text).collect();
@@ -58,11 +59,13 @@
                 format!("the list of the {} servers of {} is complete", membership.servers, membership.group)
             }));
             let has_registrations = !registrations.is_empty();
-            if self.consensus.propose(move |image| register(image, &registrations, &complete)).await.is_ok() {
+            let change = move |image: &Image| register(image, &registrations, &complete, &departures);
+            if self.consensus.propose(change).await.is_ok() {
                 log_lines.iter().for_each(|line| self.log(Component::Election, line));
                 if has_registrations {
                     self.publish_soon();
                 }
+                self.state_changed.notify_waiters();
             }
         }
     }
@@ -102,6 +105,36 @@
         last_response < at && (status.refusals > 1 || last_response + self.bounds.server_gone_after() < at)
     }
 
+    /// What servers reported of their end and the image does not record yet.
+    fn unrecorded_departures(&self, image: &Image) -> Vec<Departure> {
+        let records = self.servers.borrow();
+        let departure = |server: &String| {
+            let record = records.get(server).filter(|record| record.draining || record.deregistered)?;
+            let departure = Departure { server: server.clone(), deregistered: record.deregistered };
+            (!is_recorded(image, &departure)).then_some(departure)
+        };
+        let groups = image.groups.iter().filter(|group| group.confirms);
+        groups.flat_map(|group| group.servers.iter().filter_map(departure)).collect()
+    }
+
+    /// Waits until what a server reported of its end is on a majority of disks, so that it outlives this leader. False
+    /// if that is not so in time.
+    pub(crate) async fn await_departure(&self, server: &str) -> bool {
+        let departure = {
+            let records = self.servers.borrow();
+            let Some(record) = records.get(server).filter(|record| record.draining || record.deregistered) else {
+                return true;
+            };
+            Departure { server: server.into(), deregistered: record.deregistered }
+        };
+        let recorded = self.state_changed.wait_until(|| {
+            let image = self.consensus.image()?;
+            let must_record = image.group_of(server).is_some_and(|group| group.confirms);
+            (!must_record || is_recorded(&image, &departure)).then_some(())
+        });
+        self.disabled.forget_departures || self.env.timeout(self.bounds.call_timeout(), recorded).await.is_ok()
+    }
+
     /// The servers to be added to a group, each with the one that it replaces.
     fn pending_registrations(&self, group: &Group) -> Vec<Registration> {
         let records = self.servers.borrow();
@@ -121,12 +154,18 @@
     }
 }
 
+/// Whether the image records this departure, or a later step of it.
+fn is_recorded(image: &Image, departure: &Departure) -> bool {
+    image.departure(&departure.server).is_some_and(|recorded| recorded.deregistered || !departure.deregistered)
+}
+
 /// Removes a server from a group; the remaining list has to be found complete again.
 fn remove_server(image: &Image, group_name: &str, server: &str) -> Result<Image, ErrorKind> {
     let mut image = image.clone();
     let group = image.groups.iter_mut().find(|group| group.name == group_name).ok_or(ErrorKind::VersionConflict)?;
     group.servers.retain(|other| other != server);
     image.server_addresses.retain(|other| other.server != server);
+    image.departures.retain(|other| other.server != server);
     image
         .group_memberships
         .iter_mut()
@@ -135,9 +174,16 @@
     Ok(image)
 }
 
-/// Adds servers to their groups, and records which lists of servers are complete.
-fn register(image: &Image, registrations: &[Registration], complete: &[GroupMembership]) -> Result<Image, ErrorKind> {
+/// Adds servers to their groups, and records which lists of servers are complete, and which servers leave.
+fn register(
+    image: &Image,
+    registrations: &[Registration],
+    complete: &[GroupMembership],
+    departures: &[Departure],
+) -> Result<Image, ErrorKind> {
     let mut image = image.clone();
+    image.departures.retain(|old| departures.iter().all(|new| new.server != old.server));
+    image.departures.extend_from_slice(departures);
     for registration in registrations {
         let Some(group) = image.groups.iter_mut().find(|group| group.name == registration.group) else { continue };
         if group.servers.contains(&registration.server) {
@@ -161,5 +207,6 @@
     }
     let kept: Vec<&String> = image.groups.iter().flat_map(|group| &group.servers).collect();
     image.server_addresses.retain(|address| kept.contains(&&address.server));
+    image.departures.retain(|departure| kept.contains(&&departure.server));
     Ok(image)
 }
--- a/hub/src/operator/mod.rs
+++ b/hub/src/operator/mod.rs
@@ -54,8 +54,8 @@
         let path = path.split('?').next().unwrap_or("");
         let segments: Vec<&str> = path.split('/').filter(|segment| !segment.is_empty()).collect();
         let result = match (method, &segments[..]) {
-            ("POST", ["report"]) => self.on_report(&body),
-            ("DELETE", ["report", server]) => self.on_deregistration(server),
+            ("POST", ["report"]) => self.on_report(&body).await,
+            ("DELETE", ["report", server]) => self.on_deregistration(server).await,
             ("GET", ["ops", "doorways"]) => self.read_configuration().await,
             ("GET", ["ops", "members"]) => Ok(self.node_rows()),
             ("GET", ["ops", "servers"]) => Ok(self.server_rows()),
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -54,6 +54,20 @@
     /// Groups whose list of servers has been found complete.
     #[prost(message, repeated, tag = "20")]
     pub group_memberships: Vec<GroupMembership>,
+    /// Servers of groups whose servers register themselves that reported that they drain or end. They don't report it
+    /// again, so a later leader has to know it.
+    #[prost(message, repeated, tag = "22")]
+    pub departures: Vec<Departure>,
+}
+
+/// A server that reported that it drains or ends.
+#[derive(Clone, PartialEq, Message)]
+pub struct Departure {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// It has deregistered; otherwise it drains.
+    #[prost(bool, tag = "2")]
+    pub deregistered: bool,
 }
 
 /// A group whose servers register themselves, with the number of servers at which its list was found complete.
@@ -236,6 +250,11 @@
         self.elections.iter().find(|e| e.group == group)
     }
 
+    /// What a server reported of its end, if anything.
+    pub fn departure(&self, server: &str) -> Option<&Departure> {
+        self.departures.iter().find(|departure| departure.server == server)
+    }
+
     /// The part of the image that nodes use: without the operator's own fields, and without those that only control
     /// nodes need.
     pub fn for_nodes(&self) -> Image {
--- a/wire/src/image_delta.rs
+++ b/wire/src/image_delta.rs
@@ -81,6 +81,7 @@
             highest_forgotten_order: self.highest_forgotten_order,
             outgoing_members: self.outgoing_members.clone(),
             group_memberships: self.group_memberships.clone(),
+            departures: self.departures.clone(),
         }
     }
 }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use consensus::{Heartbeat, HeartbeatAck, VoteRequest, VoteResponse};
 pub use image::{
-    Election, Group, GroupMembership, Image, LegacyOrder, Limits, Member, Route, ServerAddress, ServerLog,
+    Departure, Election, Group, GroupMembership, Image, LegacyOrder, Limits, Member, Route, ServerAddress, ServerLog,
 };
 pub use image_delta::{ImageDelta, RouteRun};
 pub use link::{EncodedFrame, LinkError, LinkReader, LinkWriter, decode, open};
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -163,7 +163,9 @@
                 c.status.depth < depth
                     || (c.hello.is_control_node && !self.identity.is_control_node && c.status.depth == depth)
             };
-            let is_suitable = |c: &Candidate| c.hello.zone == self.identity.zone && !c.status.full && is_nearer(c);
+            let may_follow = |c: &Candidate| c.hello.is_control_node || !self.identity.is_control_node;
+            let is_suitable =
+                |c: &Candidate| c.hello.zone == self.identity.zone && !c.status.full && is_nearer(c) && may_follow(c);
             if let Some(c) = results.into_iter().flatten().flatten().filter(is_suitable).min_by_key(|c| c.status.depth)
             {
                 return c;
