Images share their routes until one of them changes them

Cause: each change of the image (an election, a registration, a list found complete) copied all routes, several times: for the change itself, its delta, its application at the other control nodes and the nodes' part.

Change: wire::Routes is a list that is copied when it is changed, with the same encoding.

Test: routes_that_do_not_change_are_shared (wire/tests/image_delta.rs).

--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -29,7 +29,9 @@
     settings::NodeConfig,
 };
 use wire::{
-    Image, NodeHeartbeat, NodeHeartbeatAck, Snapshot, SnapshotVersion, relay::Relay, snapshot::image_for_nodes,
+    Image, NodeHeartbeat, NodeHeartbeatAck, Snapshot, SnapshotVersion,
+    relay::Relay,
+    snapshot::{image_for_nodes, image_for_nodes_after},
 };
 
 use crate::{
@@ -272,7 +274,10 @@
         {
             return for_nodes.clone();
         }
-        let for_nodes = Rc::new(image_for_nodes(&image));
+        let for_nodes = Rc::new(match &*published {
+            Some((source, part)) => image_for_nodes_after(&image, (source, part)),
+            None => image_for_nodes(&image),
+        });
         *published = Some((image, for_nodes.clone()));
         for_nodes
     }
--- a/hub/tests/orders.rs
+++ b/hub/tests/orders.rs
@@ -36,7 +36,7 @@
     // Its number is not above the version that it is based on, so it was never applied.
     assert_eq!(order(20, 20, "a").lookup(&image, Some(20)), OrderStatus::NotApplied);
     assert_eq!(order(20, 21, "a").lookup(&image, Some(20)), OrderStatus::NotApplied);
-    let node_image = image.for_nodes();
+    let node_image = wire::snapshot::image_for_nodes(&image);
     assert!(node_image.encoded_len() < 16, "the memory stays on the control nodes");
 }
 
--- a/wire/src/image.rs
+++ b/wire/src/image.rs
@@ -3,6 +3,8 @@
 use base::position::Position;
 use prost::Message;
 
+use crate::Routes;
+
 /// The configuration, the elections of primaries and the membership: all that control nodes keep on disk.
 #[derive(Clone, PartialEq, Message)]
 pub struct Image {
@@ -11,7 +13,7 @@
     pub sequence: u64,
     /// `doorways` in the operator's configuration.
     #[prost(message, repeated, tag = "2")]
-    pub routes: Vec<Route>,
+    pub routes: Routes,
     #[prost(message, repeated, tag = "3")]
     pub groups: Vec<Group>,
     #[prost(message, optional, tag = "4")]
@@ -255,13 +257,16 @@
         self.departures.iter().find(|departure| departure.server == server)
     }
 
-    /// The part of the image that nodes use: without the operator's own fields, and without those that only control
-    /// nodes need.
-    pub fn for_nodes(&self) -> Image {
-        let route = |r: &Route| Route { note: String::new(), ..r.clone() };
+    /// The routes as nodes use them, without the operator's own fields.
+    pub fn routes_for_nodes(&self) -> Routes {
+        self.routes.iter().map(|route| Route { note: String::new(), ..route.clone() }).collect()
+    }
+
+    /// The part of the image that nodes use, except the routes: without the operator's own fields, and without those
+    /// that only control nodes need.
+    pub fn for_nodes_without_routes(&self) -> Image {
         let group = |g: &Group| Group { note: String::new(), ..g.clone() };
         Image {
-            routes: self.routes.iter().map(route).collect(),
             groups: self.groups.iter().map(group).collect(),
             limits: self.limits,
             evacuated_zones: self.evacuated_zones.clone(),
@@ -272,7 +277,7 @@
         }
     }
 
-    /// As [`Image::for_nodes`], without copying what stays.
+    /// The part of the image that nodes use, without copying what stays.
     pub fn into_part_for_nodes(mut self) -> Image {
         self.routes.iter_mut().for_each(|route| route.note.clear());
         self.groups.iter_mut().for_each(|group| group.note.clear());
--- a/wire/src/image_delta.rs
+++ b/wire/src/image_delta.rs
@@ -5,7 +5,7 @@
 
 use prost::Message;
 
-use crate::{Image, Route};
+use crate::{Image, Route, Routes};
 
 /// The difference between an image, the base, and a newer one.
 #[derive(Clone, PartialEq, Message)]
@@ -51,6 +51,18 @@
     /// because the delta was made for another base.
     pub fn apply(&self, delta: &ImageDelta) -> Option<Image> {
         let Some(rest) = &delta.rest else { return Some(self.clone()) };
+        let image = Image { routes: self.routes_with(delta)?, ..rest.clone() };
+        (digest(&image) == delta.digest).then_some(image)
+    }
+
+    /// The routes of the newer image; `None` if the delta was made for another base.
+    fn routes_with(&self, delta: &ImageDelta) -> Option<Routes> {
+        if let [run] = &delta.runs[..]
+            && run.new.is_empty()
+            && (run.base_start, run.base_count as usize) == (0, self.routes.len())
+        {
+            return Some(self.routes.clone());
+        }
         let mut routes = Vec::new();
         for run in &delta.runs {
             let start = run.base_start as usize;
@@ -58,15 +70,14 @@
             routes.extend_from_slice(self.routes.get(start..end)?);
             routes.extend_from_slice(&run.new);
         }
-        let image = Image { routes, ..rest.clone() };
-        (digest(&image) == delta.digest).then_some(image)
+        Some(routes.into())
     }
 
     /// The image with all fields except the routes.
     fn without_routes(&self) -> Image {
         Image {
             sequence: self.sequence,
-            routes: Vec::new(),
+            routes: Routes::default(),
             groups: self.groups.clone(),
             limits: self.limits,
             evacuated_zones: self.evacuated_zones.clone(),
@@ -87,7 +98,10 @@
 }
 
 /// The routes of the newer image as runs over those of the base.
-fn runs(base: &[Route], new: &[Route]) -> Vec<RouteRun> {
+fn runs(base: &Routes, new: &Routes) -> Vec<RouteRun> {
+    if base == new && !base.is_empty() {
+        return vec![RouteRun { base_start: 0, base_count: base.len() as u32, new: Vec::new() }];
+    }
     let positions: BTreeMap<&str, usize> = base.iter().enumerate().map(|(at, r)| (r.name.as_str(), at)).collect();
     let mut out: Vec<RouteRun> = Vec::new();
     for route in new {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod message;
 mod pieces;
 pub mod relay;
+mod routes;
 pub mod snapshot;
 
 pub use consensus::{Heartbeat, HeartbeatAck, VoteRequest, VoteResponse};
@@ -18,4 +19,5 @@
 pub use link::{EncodedFrame, LinkError, LinkReader, LinkWriter, decode, open};
 pub use message::*;
 pub use prost::Message;
+pub use routes::Routes;
 pub use snapshot::Snapshot;
--- a/wire/src/snapshot/mod.rs
+++ b/wire/src/snapshot/mod.rs
@@ -55,11 +55,23 @@
 
 /// The part of an image that nodes need, with sorted lists.
 pub fn image_for_nodes(image: &Image) -> Image {
-    with_sorted_lists(image.for_nodes())
+    with_sorted_lists(Image { routes: image.routes_for_nodes(), ..image.for_nodes_without_routes() })
+}
+
+/// As [`image_for_nodes`], given an earlier image and its part for nodes: where the routes did not change, they are
+/// shared with it.
+pub fn image_for_nodes_after(image: &Image, (earlier, earlier_part): (&Image, &Image)) -> Image {
+    if !earlier.routes.is_same(&image.routes) {
+        return image_for_nodes(image);
+    }
+    with_sorted_lists(Image { routes: earlier_part.routes.clone(), ..image.for_nodes_without_routes() })
 }
 
 fn with_sorted_lists(mut image: Image) -> Image {
-    sort(&mut image.routes);
+    // A list that is shared would be copied.
+    if !image.routes.is_sorted_by(|a, b| a.name < b.name) {
+        sort(&mut image.routes);
+    }
     sort(&mut image.groups);
     sort(&mut image.evacuated_zones);
     sort(&mut image.elections);
@@ -158,7 +170,9 @@
         let mut sum = self.image_sum();
         if !Rc::ptr_eq(&self.image, &new.image) {
             let (old, new) = (&self.image, &new.image);
-            (delta.routes, delta.routes_removed) = diff(&old.routes, &new.routes, &mut sum);
+            if !old.routes.is_same(&new.routes) {
+                (delta.routes, delta.routes_removed) = diff(&old.routes, &new.routes, &mut sum);
+            }
             (delta.groups, delta.groups_removed) = diff(&old.groups, &new.groups, &mut sum);
             (delta.evacuated_zones, delta.evacuated_zones_removed) =
                 diff(&old.evacuated_zones, &new.evacuated_zones, &mut sum);
@@ -198,7 +212,9 @@
             let image = Rc::make_mut(&mut image);
             image.sequence = delta.sequence;
             image.limits = delta.limits;
-            merge(&mut image.routes, &delta.routes, &delta.routes_removed, &mut image_sum);
+            if !delta.routes.is_empty() || !delta.routes_removed.is_empty() {
+                merge(&mut image.routes, &delta.routes, &delta.routes_removed, &mut image_sum);
+            }
             merge(&mut image.groups, &delta.groups, &delta.groups_removed, &mut image_sum);
             merge(&mut image.evacuated_zones, &delta.evacuated_zones, &delta.evacuated_zones_removed, &mut image_sum);
             merge(&mut image.elections, &delta.elections, &delta.elections_removed, &mut image_sum);
--- a/wire/tests/image_delta.rs
+++ b/wire/tests/image_delta.rs
@@ -14,7 +14,7 @@
         }
     }
     let elections = vec![Election { group: "g".into(), epoch: sequence, ..Election::default() }];
-    Image { sequence, routes, elections, note: format!("set {sequence}"), ..Image::default() }
+    Image { sequence, routes: routes.into(), elections, note: format!("set {sequence}"), ..Image::default() }
 }
 
 #[test]
@@ -62,3 +62,18 @@
     let (few, many) = (size(40), size(4000));
     assert!(many < few + 16, "{few} bytes among 40 routes, {many} among 4000");
 }
+
+/// A change that leaves the routes alone shares them, at the leader and where its delta is applied.
+#[test]
+fn routes_that_do_not_change_are_shared() {
+    let routes = (0..50).map(|i| Route { name: format!("db{i}"), ..Route::default() });
+    let old = Image { routes: routes.collect(), ..Image::default() };
+    let mut new = old.clone();
+    new.elections.push(Election { group: "g".into(), epoch: 2, ..Election::default() });
+    assert!(new.routes.is_same(&old.routes));
+    let applied = old.apply(&old.delta_to(&new)).expect("the delta was made for this base");
+    assert!(applied == new && applied.routes.is_same(&old.routes));
+    let part = wire::snapshot::image_for_nodes(&old);
+    let next = wire::snapshot::image_for_nodes_after(&new, (&old, &part));
+    assert!(next == wire::snapshot::image_for_nodes(&new) && next.routes.is_same(&part.routes));
+}
--- a/wire/tests/snapshot_delta.rs
+++ b/wire/tests/snapshot_delta.rs
@@ -158,7 +158,7 @@
             && sent.server_addresses.is_empty()
             && sent.note.is_empty()
     );
-    assert_eq!(sent.routes, [Route { name: "a".into(), ..Route::default() }]);
+    assert_eq!(sent.routes[..], [Route { name: "a".into(), ..Route::default() }]);
 }
 
 #[test]
