--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -326,8 +326,8 @@
                 return;
             }
             let deregistered = servers.get(&report.server).is_some_and(|previous| previous.deregistered);
-            if deregistered && !report.group.is_empty() && !self.disabled.forget_departures {
-                // It was sent before the server deregistered; another that takes its place has a name of its own.
+            if deregistered && self.is_listed(&report.server) && !self.disabled.forget_departures {
+                // It was sent before the server deregistered: a server stays on the list until it has ended.
                 return;
             }
             let record = ServerRecord::from_report(report, now);
@@ -361,6 +361,11 @@
         (address != report.addr && answered_lately).then_some(address)
     }
 
+    /// Whether the server is in a group whose servers register themselves.
+    fn is_listed(&self, server: &str) -> bool {
+        self.consensus.image().is_some_and(|image| image.group_of(server).is_some_and(|group| group.confirms))
+    }
+
     /// Whether the server is in a group or leaving one.
     pub fn is_known(&self, server: &str) -> bool {
         self.consensus.image().is_some_and(|image| image.group_including_leaving(server).is_some())
