A process does not take its own lateness for the silence of others

Cause: ages of unanswered requests, of nodes' reports and of servers' heartbeats counted the time in which the leader's own tasks were late and the answers lay unread. The same for a node that leaves its parent as stale, and for the ages that nodes report.

--- a/hub/src/leadership/elections.rs
+++ b/hub/src/leadership/elections.rs
@@ -347,14 +347,14 @@
         let (_, since) = self.consensus.term();
         let max_age = now.saturating_sub(since);
         let own_age =
-            self.log_samples.borrow().get(server).map_or(max_age, |sample| now.saturating_sub(sample.received_at));
+            self.log_samples.borrow().get(server).map_or(max_age, |sample| self.watched_since(sample.received_at));
         let refused_age = self.bounds.server_gone_after() + self.bounds.control_heartbeat();
         let own_age = if self.refusing_servers.borrow().contains(server) { refused_age } else { own_age.min(max_age) };
         let mut ages = vec![own_age];
         for node in self.nodes.borrow().values().filter(|node| !node.is_control_node && node.last_heartbeat > recent) {
             if let Some(observation) = node.observations.get(server) {
                 let age =
-                    (Duration::from_millis(observation.age_ms) + now.saturating_sub(node.last_heartbeat)).min(max_age);
+                    (Duration::from_millis(observation.age_ms) + self.watched_since(node.last_heartbeat)).min(max_age);
                 ages.push(if observation.refused { refused_age } else { age });
             }
         }
--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -71,13 +71,13 @@
         let refused_age = self.bounds.server_missed_after() * 2;
         let own_age = match self.server_statuses.borrow().get(server) {
             Some(status) if status.refusals > 1 => refused_age,
-            Some(status) => status.unanswered_since.map_or(Duration::ZERO, |since| now.saturating_sub(since)),
+            Some(status) => status.unanswered_since.map_or(Duration::ZERO, |since| self.watched_since(since)),
             None => Duration::ZERO,
         };
         let mut ages = vec![own_age];
         for node in self.nodes.borrow().values().filter(|node| !node.is_control_node && node.last_heartbeat > recent) {
             if let Some(observation) = node.observations.get(server) {
-                let report_age = now.saturating_sub(node.last_heartbeat).saturating_sub(self.bounds.node_heartbeat());
+                let report_age = self.watched_since(node.last_heartbeat).saturating_sub(self.bounds.node_heartbeat());
                 ages.push(if observation.refused {
                     refused_age
                 } else {
--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -22,6 +22,7 @@
 use base::{
     Bounds,
     edge::backend::ServerReport,
+    loop_lag::LoopLag,
     notify::Notify,
     permits::Permits,
     protocol::ServerProtocol,
@@ -62,6 +63,7 @@
     pub(crate) bounds: Bounds,
     pub(crate) platform_address: Cell<Option<SocketAddr>>,
     pub(crate) server_protocol: Option<Rc<dyn ServerProtocol>>,
+    loop_lag: Rc<LoopLag>,
     /// By name, the connection status of servers that confirm commits: the last reported status and the queued
     /// statement.
     server_statuses: RefCell<BTreeMap<String, ServerStatus>>,
@@ -117,6 +119,7 @@
         relay: Rc<Relay>,
         config: &NodeConfig,
         server_protocol: Option<Rc<dyn ServerProtocol>>,
+        loop_lag: Rc<LoopLag>,
         disabled: DisabledGuards,
     ) -> Rc<Self> {
         let leadership = Rc::new(Self {
@@ -126,6 +129,7 @@
             bounds: config.bounds.clone(),
             platform_address: Cell::new(config.platform),
             server_protocol,
+            loop_lag,
             server_statuses: RefCell::default(),
             servers: RefCell::default(),
             nodes: RefCell::default(),
@@ -488,6 +492,12 @@
         grants
     }
 
+    /// For how long this control node could have noticed that something happened after `start`: the time in which its
+    /// own tasks were late is left out, as what arrived then lies unread.
+    pub(super) fn watched_since(&self, start: Duration) -> Duration {
+        self.loop_lag.responsive_since(start)
+    }
+
     /// Marks silent servers as gone, and forgets silent nodes.
     async fn detect_silence(&self) {
         loop {
@@ -501,7 +511,7 @@
                 let last_answer = last_answer.max(
                     self.server_statuses.borrow().get(name).and_then(|status| status.last_response).unwrap_or_default(),
                 );
-                let silent = now.saturating_sub(record.last_report.max(last_answer)) > gone_after;
+                let silent = self.watched_since(record.last_report.max(last_answer)) > gone_after;
                 changed |= record.gone != (silent || record.deregistered);
                 record.gone = silent || record.deregistered;
             }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -224,7 +224,10 @@
     let relay = Relay::new(env, node_identity.clone(), config.bounds.clone());
     let handler =
         Rc::new(ControlNodeHandler { consensus: consensus.clone(), leadership: Default::default(), env: env.clone() });
-    let leadership = Leadership::new(env, consensus.clone(), relay.clone(), config, server_protocol, disabled);
+    let lag = LoopLag::new(env, config.bounds.control_heartbeat());
+    relay.set_loop_lag(lag.clone());
+    let leadership =
+        Leadership::new(env, consensus.clone(), relay.clone(), config, server_protocol, lag.clone(), disabled);
     *handler.leadership.borrow_mut() = Some(leadership.clone());
     relay.set_handler(handler);
     let endpoint = Endpoint::new(config.max_sessions, config.max_body_bytes);
@@ -237,7 +240,6 @@
     let task = leadership.clone();
     tree.child("leadership", move || task.clone().run());
     let (http_env, http_endpoint) = (env.clone(), endpoint.clone());
-    let lag = LoopLag::new(env, config.bounds.control_heartbeat());
     let watched_lag = lag.clone();
     tree.child("loop lag", move || watched_lag.clone().watch());
     let (http_relay, http_consensus) = (relay.clone(), consensus.clone());
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -226,6 +226,7 @@
     health: Rc<HealthMeasurements>,
     pools: Rc<Pools>,
     urgent_heartbeat: Notify,
+    loop_lag: Rc<LoopLag>,
     /// Age of the last response after which a server that is sampled at a reduced rate is left out of heartbeats.
     max_report_age: Duration,
 }
@@ -253,7 +254,8 @@
                 }
                 let age = match pool.protocol {
                     // How long a request has been unanswered: without a request, the lack of a response means nothing.
-                    Some(_) => unresponsive_since.map_or(0, |t| now.saturating_sub(t).as_millis() as u64),
+                    // The node's own lateness is left out: an answer may lie unread.
+                    Some(_) => unresponsive_since.map_or(0, |t| self.loop_lag.responsive_since(t).as_millis() as u64),
                     None => {
                         observation.last_response_at.map_or(u64::MAX / 2, |t| now.saturating_sub(t).as_millis() as u64)
                     }
@@ -360,12 +362,15 @@
         disabled.keep_highest_position,
     );
     let relay = Relay::new(env, identity.clone(), bounds.clone());
+    let loop_lag = LoopLag::new(env, bounds.control_heartbeat());
+    relay.set_loop_lag(loop_lag.clone());
     relay.set_handler(Rc::new(NodeRelayHandler {
         env: env.clone(),
         journal: journal.clone(),
         health: health.clone(),
         pools: pools.clone(),
         urgent_heartbeat: relay.urgent_heartbeat.clone(),
+        loop_lag: loop_lag.clone(),
         max_report_age: bounds.server_missed_after() * 2,
     }));
     let endpoint = Endpoint::new(config.max_sessions, config.max_body_bytes);
@@ -400,7 +405,6 @@
     tree.child("samples", move || child_health.clone().run_sampling(child_pools.clone()));
     let child_health = health.clone();
     tree.child("evaluations", move || child_health.clone().run_evaluations());
-    let loop_lag = LoopLag::new(env, bounds.control_heartbeat());
     let child_loop_lag = loop_lag.clone();
     tree.child("loop lag", move || child_loop_lag.clone().watch());
     let status_pages = Rc::new(StatusPages { context: context.clone(), relay: relay.clone(), loop_lag });
--- a/wire/src/relay/join.rs
+++ b/wire/src/relay/join.rs
@@ -221,7 +221,8 @@
                 None => {}
             }
             let last_acked = self.last_acked_sent_at.get().unwrap_or_default().max(start);
-            if self.env.now() - last_acked > self.stale_timeout() {
+            // Acknowledgements that arrived while this process's tasks were late may not be read yet.
+            if self.watched_since(last_acked) > self.stale_timeout() {
                 break "stale".into();
             }
         };
--- a/wire/src/relay/mod.rs
+++ b/wire/src/relay/mod.rs
@@ -12,7 +12,7 @@
 use forwarding::HeartbeatArrivals;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
@@ -21,6 +21,7 @@
 
 use base::{
     Bounds,
+    loop_lag::LoopLag,
     notify::Notify,
     runtime::{Component, Env, Listener},
     supervisor::Supervisor,
@@ -107,6 +108,7 @@
     bounds: RefCell<Bounds>,
     weak_self: RefCell<std::rc::Weak<Relay>>,
     handler: RefCell<Option<Rc<dyn RelayHandler>>>,
+    loop_lag: OnceCell<Rc<LoopLag>>,
     /// By the id of the child's link.
     children: RefCell<BTreeMap<u64, Child>>,
     /// By link id: links of processes that may be searching for a parent and have sent no heartbeat yet.
@@ -156,6 +158,7 @@
             identity,
             bounds: RefCell::new(bounds),
             handler: RefCell::default(),
+            loop_lag: OnceCell::new(),
             children: RefCell::default(),
             probing_links: RefCell::default(),
             routes: RefCell::default(),
@@ -182,6 +185,19 @@
         relay
     }
 
+    /// Sets the measurement of how late this process's tasks run.
+    pub fn set_loop_lag(&self, loop_lag: Rc<LoopLag>) {
+        let _ = self.loop_lag.set(loop_lag);
+    }
+
+    /// For how long this process could have noticed that something arrived after `start`.
+    fn watched_since(&self, start: Duration) -> Duration {
+        match self.loop_lag.get() {
+            Some(loop_lag) => loop_lag.responsive_since(start),
+            None => self.env.now().saturating_sub(start),
+        }
+    }
+
     /// Sets the handler of incoming messages. Must be called once, before the relay runs.
     pub fn set_handler(&self, handler: Rc<dyn RelayHandler>) {
         *self.handler.borrow_mut() = Some(handler);
