--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -1,13 +1,19 @@
 //! What the leading control node does: it collects the reports of servers and the heartbeats of nodes, grants leases,
 //! elects primaries and publishes state snapshots.
 
+mod confirming;
 mod election_record;
 mod elections;
 mod failover;
+mod hand_over;
+mod heartbeats;
 mod log_membership;
 mod membership;
+mod promotion;
+mod publishing;
 mod registration;
 mod registry;
+mod replication_orders;
 mod rows;
 mod sampling;
 
@@ -29,18 +35,9 @@
     runtime::{Component, Env},
     settings::NodeConfig,
 };
-use wire::{
-    Image, NodeHeartbeat, NodeHeartbeatAck, Snapshot, SnapshotVersion,
-    relay::Relay,
-    snapshot::{image_for_nodes, image_for_nodes_after},
-};
+use wire::{Image, relay::Relay};
 
-use crate::{
-    consensus::Consensus,
-    leases::{self, Holder, LeaseTable},
-    operator,
-    run::DisabledGuards,
-};
+use crate::{consensus::Consensus, leases::LeaseTable, operator, run::DisabledGuards};
 
 use election_record::PendingElection;
 pub use elections::GroupLeadership;
@@ -249,76 +246,6 @@
         self.publish();
     }
 
-    /// The version of the latest snapshot; every published change raises it before anything acts on the change.
-    fn snapshot_version(&self) -> SnapshotVersion {
-        SnapshotVersion { term: self.term.get(), count: self.snapshot_count.get() }
-    }
-
-    /// Publishes a snapshot of the current state to all nodes.
-    pub fn publish(&self) {
-        let Some(image) = self.consensus.image() else { return };
-        self.publish_overdue.set(!self.consensus.leads_with_lease());
-        if self.publish_overdue.get() {
-            return;
-        }
-        self.unpublished.set(false);
-        self.snapshot_count.set(self.snapshot_count.get() + 1);
-        let servers = self.servers.borrow().iter().map(|(name, record)| record.to_message(name)).collect();
-        let nodes = self.nodes_to_publish();
-        self.published_nodes.borrow_mut().clone_from(&nodes);
-        self.relay.publish(Snapshot::new(self.snapshot_version(), self.image_for_nodes(image), servers, nodes));
-        self.state_changed.notify_waiters();
-    }
-
-    /// The part of the image that nodes need; made anew only when the image changed.
-    fn image_for_nodes(&self, image: Rc<Image>) -> Rc<Image> {
-        let mut published = self.published_image.borrow_mut();
-        if let Some((source, for_nodes)) = &*published
-            && Rc::ptr_eq(source, &image)
-        {
-            return for_nodes.clone();
-        }
-        let for_nodes = Rc::new(match &*published {
-            Some((source, part)) => image_for_nodes_after(&image, (source, part)),
-            None => image_for_nodes(&image),
-        });
-        *published = Some((image, for_nodes.clone()));
-        for_nodes
-    }
-
-    /// Publishes a snapshot with the next batch, so that not every server's report causes one.
-    pub(super) fn publish_soon(&self) {
-        self.unpublished.set(true);
-    }
-
-    /// Publishes collected changes in batches. The delay adds to the time that a node may go on without a newer
-    /// snapshot, four fifths of the `blueprint` bound; together they stay within the `drain` bound. A new configuration
-    /// or an evacuation never waits here.
-    async fn publish_batches(&self) {
-        loop {
-            self.env.sleep(self.batch_interval()).await;
-            if self.unpublished.get() {
-                self.publish();
-            }
-        }
-    }
-
-    /// For how long changes are collected before a snapshot is published: half a node's heartbeat interval.
-    fn batch_interval(&self) -> Duration {
-        self.bounds.node_heartbeat() / 2
-    }
-
-    /// The nodes to list in a snapshot, which other nodes may choose as parents: those nearest to the root of the tree.
-    fn nodes_to_publish(&self) -> Vec<wire::Node> {
-        let nodes = self.nodes.borrow();
-        let mut all: Vec<&wire::Node> = nodes.values().map(|record| &record.node).collect();
-        if all.len() > MAX_PUBLISHED_NODES {
-            all.sort_by_key(|node| (node.depth, &node.name));
-            all.truncate(MAX_PUBLISHED_NODES);
-        }
-        all.into_iter().cloned().collect()
-    }
-
     /// Stores a server's report of itself, unless a later one has arrived already.
     pub fn record_report(&self, report: &ServerReport) {
         let now = self.env.now();
@@ -384,114 +311,6 @@
         zones
     }
 
-    /// Handles a node's heartbeat and returns the acknowledgement with the leases granted to the node. Returns nothing
-    /// if this control node doesn't lead or if the node runs with other bounds.
-    pub fn on_heartbeat(&self, heartbeat: NodeHeartbeat) -> Option<NodeHeartbeatAck> {
-        if !self.consensus.leads_with_lease() || self.term.get() != self.consensus.term().0 {
-            return None;
-        }
-        if !self.consensus.has_same_bounds(&heartbeat.name, heartbeat.bounds_digest) {
-            return None;
-        }
-        let image = self.consensus.image()?;
-        if self.publish_overdue.get() {
-            self.publish();
-        }
-        let now = self.env.now();
-        {
-            let mut nodes = self.nodes.borrow_mut();
-            nodes.insert(heartbeat.name.clone(), NodeRecord::from_heartbeat(&heartbeat, now));
-            if heartbeat.leaving {
-                nodes.remove(&heartbeat.name);
-            }
-        }
-        self.leases.borrow_mut().record_heartbeat(&heartbeat, now);
-        if heartbeat.is_control_node {
-            self.consensus.add_discovered(&heartbeat.peer);
-        }
-        if heartbeat.is_control_node || heartbeat.leaving {
-            return Some(self.acknowledgement(&heartbeat, Vec::new(), Vec::new()));
-        }
-        self.adopt_reported_leases(&heartbeat, &image);
-        for observation in heartbeat.observations.iter().filter(|observation| observation.lost_since_admission > 0) {
-            self.record_lost_entries(&image, &observation.server, observation.lost_since_admission);
-        }
-        let primary_leases = self.grant_primary_leases(&heartbeat, &image, now);
-        let shares = self.grant_shares(&heartbeat, &image, now);
-        Some(self.acknowledgement(&heartbeat, primary_leases, shares))
-    }
-
-    /// The acknowledgement of a heartbeat.
-    fn acknowledgement(
-        &self,
-        heartbeat: &NodeHeartbeat,
-        primary_leases: Vec<wire::PrimaryLeaseGrant>,
-        shares: Vec<wire::ShareGrant>,
-    ) -> NodeHeartbeatAck {
-        NodeHeartbeatAck {
-            name: heartbeat.name.clone(),
-            boot_id: heartbeat.boot_id,
-            nonce: heartbeat.nonce,
-            snapshot_version: Some(self.snapshot_version()),
-            primary_leases,
-            shares,
-        }
-    }
-
-    /// Grants a node the leases on the primaries of all groups where leases may be granted.
-    fn grant_primary_leases(
-        &self,
-        heartbeat: &NodeHeartbeat,
-        image: &Image,
-        now: Duration,
-    ) -> Vec<wire::PrimaryLeaseGrant> {
-        let group_leadership = self.group_leadership.borrow();
-        let holder = Holder { node: &heartbeat.name, boot_id: heartbeat.boot_id, nonce: heartbeat.nonce };
-        let mut leases = Vec::new();
-        let confirms: BTreeMap<&str, bool> =
-            image.groups.iter().map(|group| (group.name.as_str(), group.confirms)).collect();
-        for (group, leadership) in group_leadership.iter().filter(|(_, leadership)| leadership.granting) {
-            let server = match confirms.get(group.as_str()) {
-                Some(true) => leadership.server.clone(),
-                _ => match image.election(group) {
-                    Some(election) if election.epoch == leadership.epoch => election.server.clone(),
-                    _ => continue,
-                },
-            };
-            self.leases.borrow_mut().grant_primary(group, holder, now + self.bounds.lease_expiry_wait());
-            leases.push(wire::PrimaryLeaseGrant {
-                group: group.clone(),
-                server,
-                epoch: leadership.epoch,
-                valid_ms: self.bounds.lease_duration().as_millis() as u64,
-            });
-        }
-        leases
-    }
-
-    /// Grants a node its shares of all servers' connections.
-    fn grant_shares(&self, heartbeat: &NodeHeartbeat, image: &Image, now: Duration) -> Vec<wire::ShareGrant> {
-        let mut grants = Vec::new();
-        let mut table = self.leases.borrow_mut();
-        let holder = Holder { node: &heartbeat.name, boot_id: heartbeat.boot_id, nonce: heartbeat.nonce };
-        let until = now + self.bounds.lease_expiry_wait();
-        for group in &image.groups {
-            for server in &group.servers {
-                let cold = self.servers.borrow().get(server).map_or(0.0, |record| record.cold);
-                let cold = if self.disabled.no_warm_up { 0.0 } else { cold };
-                let cap = leases::shareable_connections(group.cap, cold);
-                let leases::Share { count, scarce, sharers } = match self.disabled.ignore_outstanding_shares {
-                    true => leases::Share { count: cap, scarce: false, sharers: 1 },
-                    // A cold server's reduced cap is what it can handle; the server itself enforces only its full cap.
-                    false => table.grant_share(server, holder, cap, now, until, group.confirms && cold == 0.0),
-                };
-                let valid_ms = self.bounds.lease_duration().as_millis() as u64;
-                grants.push(wire::ShareGrant { server: server.clone(), count, valid_ms, scarce, sharers });
-            }
-        }
-        grants
-    }
-
     /// For how long this control node could have noticed that something happened after `start`: the time in which its
     /// own tasks were late is left out, as what arrived then lies unread.
     pub(super) fn watched_since(&self, start: Duration) -> Duration {
--- /dev/null
+++ b/hub/src/leadership/promotion.rs
@@ -0,0 +1,120 @@
+//! Promotions by the platform: fencing tokens, the call, and the wait for the promoted server.
+
+use std::time::Duration;
+
+use base::{
+    protocol::{Promotion, StatementKind},
+    runtime::Component,
+};
+use wire::Group;
+
+use super::{Leadership, confirming::ConfirmingServer};
+
+/// How many low bits of a fencing token count the promotions within a term; the bits above hold the term.
+const PROMOTION_COUNT_BITS: u32 = 20;
+
+/// How long a new leader waits before it promotes a server while the previous leader is still alive. The platform
+/// expects at most one control node to promote servers in any interval of this length.
+const PROMOTER_CHANGE_PAUSE: Duration = Duration::from_secs(3);
+
+impl Leadership {
+    /// Once per term, promotes the server that is primary already. The platform thereby learns this term's fencing
+    /// token and refuses calls of an earlier leader that are still in transit. One lease duration later, servers that
+    /// the earlier leader may have suspended resume replication.
+    pub(super) async fn fence_earlier_leader(
+        &self,
+        group: &Group,
+        primary: &ConfirmingServer,
+        leadership: &super::GroupLeadership,
+    ) {
+        let now = self.env.now();
+        match leadership.fenced_at {
+            // There is no earlier leader before the first term.
+            None if self.consensus.term().0 <= 1 => self.update_group(&group.name, |state| {
+                state.fenced_at = Some(now);
+                state.replicas_resumed = true;
+            }),
+            None if self.in_promoter_change_pause() => {}
+            None => {
+                let status = self.promote(group, &primary.name).await;
+                if status == Some(200) {
+                    self.update_group(&group.name, |state| state.fenced_at = Some(self.env.now()));
+                }
+            }
+            Some(fenced_at) if !leadership.replicas_resumed && now > fenced_at + self.bounds.lease_duration() => {
+                group
+                    .servers
+                    .iter()
+                    .filter(|server| **server != primary.name)
+                    .for_each(|server| self.queue_order(server, StatementKind::ResumeReplication));
+                self.update_group(&group.name, |state| state.replicas_resumed = true);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Whether an earlier leader that is still alive may have promoted a server a moment ago.
+    pub(super) fn in_promoter_change_pause(&self) -> bool {
+        let (_, since) = self.consensus.term();
+        !self.disabled.no_promoter_change_pause
+            && self.env.now() < since + PROMOTER_CHANGE_PAUSE
+            && self.consensus.former_leader_follows()
+    }
+
+    /// A number that rises with the term and, within it, with each promotion of another server. A call whose response
+    /// was lost may arrive after a later call; the platform then refuses it.
+    pub(super) fn fencing_token(&self, group: &str, server: &str) -> u64 {
+        let mut promotion_counts = self.promotion_counts.borrow_mut();
+        let (count, last) = promotion_counts.entry(group.into()).or_default();
+        if last != server && !self.disabled.one_fencing_token {
+            *count += 1;
+            *last = server.into();
+        }
+        self.term.get() << PROMOTION_COUNT_BITS | *count
+    }
+
+    /// Asks the platform to promote a server. Returns the status of the response, or nothing if no response came.
+    pub(super) async fn promote(&self, group: &Group, server: &str) -> Option<u16> {
+        let (address, protocol) = (self.platform_address.get()?, self.server_protocol.clone()?);
+        let promotion = Promotion {
+            group: group.name.clone(),
+            server: server.into(),
+            holder: self.relay.identity.name.clone(),
+            fencing_token: self.fencing_token(&group.name, server),
+        };
+        let result = protocol.promote(&self.env, address, &promotion, self.bounds.call_timeout()).await;
+        match result {
+            Ok(200) => Some(200),
+            Ok(status) => {
+                // Only a refusal guarantees that the promotion is not carried out.
+                self.update_group(&group.name, |state| state.promotion_outcome_unknown |= status >= 500);
+                self.log(Component::Election, format!("the platform answered {status} to the promotion of {server}"));
+                Some(status)
+            }
+            Err(error) => {
+                self.update_group(&group.name, |state| state.promotion_outcome_unknown = true);
+                self.log(Component::Election, format!("the call to promote {server} failed: {error}"));
+                None
+            }
+        }
+    }
+
+    /// Waits until the promoted server reports that it is primary in `epoch` or a later one; false after the timeout.
+    pub(super) async fn await_primary(&self, group: &Group, server: &str, epoch: u64) -> bool {
+        let timeout = self.bounds.server_gone_after();
+        self.urgent_until.set(self.env.now() + timeout);
+        let is_primary = |name: &str| {
+            let server_statuses = self.server_statuses.borrow();
+            server_statuses
+                .get(name)
+                .and_then(|status| status.last_status)
+                .is_some_and(|(_, status)| status.is_primary && status.epoch >= epoch)
+        };
+        let wait = self.state_changed.wait_until(|| is_primary(server).then_some(()));
+        let became_primary = self.env.timeout(timeout, wait).await.is_ok();
+        if !became_primary {
+            self.log(Component::Election, format!("{server} is not primary of {} yet", group.name));
+        }
+        became_primary
+    }
+}
