--- a/kit/tests/departures.rs
+++ b/kit/tests/departures.rs
@@ -77,6 +77,6 @@
 
 /// A heartbeat that came after the deregistration put the server back into service.
 #[test]
-fn a_late_heartbeat_does_not_undo_a_deregistration() {
+fn a_deregistration_outlives_a_late_heartbeat() {
     assert_departure_is_kept(late_heartbeat);
 }
