Replicas suspended for a promotion that was not answered resume once it is fenced off, and not before

Callers saw (in simulation): a primary was lost, the platform took the promotion of another without an answer, the primary came back: no commit was confirmed for the rest of the term, as `promotion_outcome_unknown` was never cleared. Beside it, a failover that was abandoned had replicas resume although that promotion might still be carried out; a commit that only one of them received would be lost if the other was then promoted.

Change: an unknown outcome has the observed primary promoted again with a higher fencing token, which the platform refuses earlier calls by; a lease duration later replicas resume and the outcome counts as known. Until then they stay suspended also where the failover was abandoned. A call that was certainly not sent leaves nothing unknown.

--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -55,7 +55,7 @@
                 })
                 .count();
             if suspended < required {
-                return self.resume_all(&others);
+                return self.resume_after_abandoned_failover(group, &others);
             }
         } else if self.suspend_all(&others, epoch, self.bounds.server_gone_after()).await.is_none() {
             let missing = others.iter().filter(|server| {
@@ -67,7 +67,7 @@
                 format!("{} can't be read; no primary for {} yet", missing.join(" "), group.name),
             );
             if self.unanswered_for(lost) < self.bounds.server_missed_after() {
-                self.resume_all(&others);
+                self.resume_after_abandoned_failover(group, &others);
             }
             return;
         }
@@ -76,7 +76,7 @@
         }
         if self.unanswered_for(lost) < self.bounds.server_missed_after() && !lost.is_empty() {
             self.log(Component::Election, format!("{lost} answers again"));
-            return self.resume_all(&others);
+            return self.resume_after_abandoned_failover(group, &others);
         }
         if !self.is_membership_settled(group) {
             // A server that registered meanwhile has to be suspended and read too.
@@ -105,6 +105,16 @@
         self.await_primary(group, &best, epoch).await;
     }
 
+    /// Has the replicas resume that a failover without a promotion suspended. While an earlier promotion may still be
+    /// carried out they stay suspended, as the promoted one would lack what only another had received by then; they
+    /// resume once that promotion is fenced off.
+    fn resume_after_abandoned_failover(&self, group: &Group, replicas: &[String]) {
+        let may_be_carried_out = self.leadership_of(&group.name).promotion_outcome_unknown;
+        if !may_be_carried_out || self.disabled.forget_unknown_promotions {
+            self.resume_all(replicas);
+        }
+    }
+
     /// Records that an election waits until the list of a group's servers is complete.
     pub(super) fn wait_for_membership(&self, group: &str) {
         if !self.leadership_of(group).waits_for_membership {
--- a/hub/src/leadership/promotion.rs
+++ b/hub/src/leadership/promotion.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::{
+    http::CallError,
     protocol::{Promotion, StatementKind},
     runtime::Component,
 };
@@ -43,7 +44,7 @@
         let is_first_term = self.consensus.term().0 <= 1;
         match leadership.fenced_at {
             // There is no earlier leader before the first term.
-            None if is_first_term => {
+            None if is_first_term && !leadership.promotion_outcome_unknown => {
                 self.update_group(&group.name, |state| {
                     state.fenced_at = Some(now);
                     state.replicas_resumed = true;
@@ -61,12 +62,27 @@
                     .iter()
                     .filter(|server| **server != primary.name)
                     .for_each(|server| self.queue_order(server, StatementKind::ResumeReplication));
-                self.update_group(&group.name, |state| state.replicas_resumed = true);
+                self.update_group(&group.name, |state| {
+                    state.replicas_resumed = true;
+                    state.promotion_outcome_unknown = false;
+                });
             }
             Some(_) => {}
         }
     }
 
+    /// Records that a promotion may still be carried out, so that the next observed primary is fenced against it.
+    fn record_unknown_outcome(&self, group: &str) {
+        if self.disabled.forget_unknown_promotions {
+            return self.update_group(group, |state| state.promotion_outcome_unknown = true);
+        }
+        self.update_group(group, |state| {
+            state.promotion_outcome_unknown = true;
+            state.fenced_at = None;
+            state.replicas_resumed = false;
+        });
+    }
+
     /// Whether an earlier leader that is still alive may have promoted a server a moment ago.
     pub(super) fn in_promoter_change_pause(&self) -> bool {
         let (_, since) = self.consensus.term();
@@ -120,12 +136,16 @@
             Ok(STATUS_OK) => Some(STATUS_OK),
             Ok(status) => {
                 // Only a refusal guarantees that the promotion is not carried out.
-                self.update_group(&group.name, |state| state.promotion_outcome_unknown |= status >= FIRST_SERVER_ERROR);
+                if status >= FIRST_SERVER_ERROR {
+                    self.record_unknown_outcome(&group.name);
+                }
                 self.log(Component::Election, format!("the platform answered {status} to the promotion of {server}"));
                 Some(status)
             }
             Err(error) => {
-                self.update_group(&group.name, |state| state.promotion_outcome_unknown = true);
+                if error == CallError::OutcomeUnknown {
+                    self.record_unknown_outcome(&group.name);
+                }
                 self.log(Component::Election, format!("the call to promote {server} failed: {error}"));
                 None
             }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -70,6 +70,8 @@
     pub leave_hand_over: bool,
     /// Have a primary step down for a hand-over without knowing whether the platform answers.
     pub step_down_unasked: bool,
+    /// Keep replicas suspended for the rest of the term after a promotion whose outcome is unknown.
+    pub forget_unknown_promotions: bool,
     /// Acknowledge that a server drains or ends before a majority has recorded it, and let late heartbeats undo it.
     pub forget_departures: bool,
     /// Keep no connection to a server that deregistered and still serves.
--- a/kit/tests/hand_overs.rs
+++ b/kit/tests/hand_overs.rs
@@ -101,6 +101,48 @@
     }
 }
 
+/// How many commits of a group's primary another server has received.
+fn replicated_commits(deployment: &PlatformDeployment, group: &str) -> usize {
+    let length = deployment.store.commit_counts()[group];
+    let is_replicated = |length: &usize| deployment.store.with_group(group, |state| state.is_replicated(*length));
+    (1..=length).rev().find(|length| is_replicated(length) == Some(true)).unwrap_or(0)
+}
+
+/// Replicas stayed suspended, and no commit was confirmed, when the platform had not answered a promotion and the old
+/// primary came back.
+#[test]
+fn replicas_do_not_stay_suspended_after_a_promotion_that_was_not_answered() {
+    let timeline = [(2.0, "duty", "no-answer"), (2.0, "s00", "dark"), (5.0, "s00", "start"), (8.0, "duty", "sound")];
+    let commits = |seed, options| {
+        let deployment = PlatformDeployment::new(seed, options);
+        deployment.configure_and_wait();
+        let start = deployment.sim.now();
+        let run_until = |at: f64| deployment.sim.run_until(start + Duration::from_secs_f64(at), &|| false);
+        deployment.start_load(4, Duration::from_secs(20));
+        for (at, process, action) in timeline {
+            run_until(at);
+            deployment.apply_action(process, action);
+        }
+        // A call may be due 1.3 s later, and replicas resume a lease duration after it.
+        run_until(11.5);
+        let before = replicated_commits(&deployment, "g0");
+        run_until(12.5);
+        let found = deployment.findings();
+        assert!(found.is_empty(), "seed {seed}: {found:?}\n{}", deployment.formatted_log());
+        let after = replicated_commits(&deployment, "g0");
+        assert!(after >= before, "seed {seed}: {before} commits, then {after}\n{}", deployment.formatted_log());
+        (after - before, deployment)
+    };
+    for seed in SEEDS {
+        let (count, deployment) = commits(seed, PlatformDeploymentOptions::default());
+        assert!(count > 10, "seed {seed}: {count} commits\n{}", deployment.formatted_log());
+    }
+    let mut options = PlatformDeploymentOptions::default();
+    options.hub.forget_unknown_promotions = true;
+    let without_guard: Vec<usize> = SEEDS.map(|seed| commits(seed, options).0).collect();
+    assert!(without_guard.contains(&0), "{without_guard:?} commits without the guard");
+}
+
 /// No leases were granted any more on a primary that had been silent for a moment, when an operator had requested a
 /// hand-over to a server that could not lead.
 #[test]
