Programs say what they were built from; errors at the start name the address or file

An address in use was reported without the address, a data folder without its path.

Errors of listening and of the data folder name what they are about.

Tests: hub/tests/flags.rs, two more.

--- a/base/src/boot.rs
+++ b/base/src/boot.rs
@@ -29,6 +29,7 @@
     pub platform: Option<String>,
     pub log: Option<String>,
     pub check: bool,
+    pub version: bool,
     pub rescue: Option<String>,
 }
 
@@ -73,6 +74,9 @@
             /// check settings and flags, then exit
             #[argh(switch)]
             check: bool,
+            /// print what this program was built from, then exit
+            #[argh(switch)]
+            version: bool,
             /// on a stopped control node, when the other two disks are lost: "look" prints what this disk holds and the
             /// value to pass here to continue from it (see docs/runbook.md)
             #[argh(option)]
@@ -93,6 +97,7 @@
                 platform: arguments.platform,
                 log: arguments.log,
                 check: arguments.check,
+                version: arguments.version,
                 rescue: arguments.rescue,
             }
         }
@@ -218,6 +223,14 @@
     exit(EXIT_BAD_SETTINGS)
 }
 
+/// Prints what the program was built from and exits, if `--version` was given.
+pub fn exit_if_version_only(flags: &Flags, program: &str, build: &str) {
+    if flags.version {
+        println!("{program} {build}");
+        exit(0)
+    }
+}
+
 /// Exits successfully if `--check` was given.
 pub fn exit_if_check_only(flags: &Flags) {
     if flags.check {
@@ -259,7 +272,7 @@
 pub fn system_env(data: Option<&str>) -> Env {
     match SystemRuntime::new(data.map(PathBuf::from)) {
         Ok(runtime) => Env::new(runtime as Rc<dyn crate::runtime::Runtime>),
-        Err(e) => exit_cannot_start(&format!("data folder: {e}")),
+        Err(e) => exit_cannot_start(&format!("data folder {}: {e}", data.unwrap_or_default())),
     }
 }
 
--- a/base/src/runtime/env.rs
+++ b/base/src/runtime/env.rs
@@ -102,7 +102,8 @@
 
     /// Binds an address and listens on it.
     pub async fn listen(&self, addr: SocketAddr) -> io::Result<Rc<dyn Listener>> {
-        self.0.listen(addr).await
+        let with_address = |error: io::Error| io::Error::new(error.kind(), format!("{addr}: {error}"));
+        self.0.listen(addr).await.map_err(with_address)
     }
 
     /// Opens a stream to an address; fails with `io::ErrorKind::TimedOut` after `timeout`.
--- a/base/src/runtime/system.rs
+++ b/base/src/runtime/system.rs
@@ -112,6 +112,11 @@
     path: PathBuf,
 }
 
+/// Adds the path of the file or folder to an error.
+fn with_path(path: PathBuf) -> impl FnOnce(io::Error) -> io::Error {
+    move |error| io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+}
+
 impl DataFolder {
     /// Syncs the folder itself, which makes the entry of a new file durable.
     async fn sync_folder(path: PathBuf) -> io::Result<()> {
@@ -122,11 +127,12 @@
 impl Disk for DataFolder {
     fn read(&self, name: &str) -> LocalFuture<io::Result<Option<Vec<u8>>>> {
         let path = self.path.join(name);
+        let named = path.clone();
         Box::pin(async move {
             match compio::fs::read(path).await {
                 Ok(data) => Ok(Some(data)),
                 Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
-                Err(e) => Err(e),
+                Err(e) => Err(with_path(named)(e)),
             }
         })
     }
@@ -134,7 +140,13 @@
     fn write(&self, name: &str, data: Vec<u8>) -> LocalFuture<io::Result<()>> {
         let (path, folder) = (self.path.join(name), self.path.clone());
         Box::pin(async move {
-            let mut file = OpenOptions::new().write(true).create(true).truncate(true).open(path).await?;
+            let mut file = OpenOptions::new()
+                .write(true)
+                .create(true)
+                .truncate(true)
+                .open(&path)
+                .await
+                .map_err(with_path(path))?;
             let BufResult(result, _) = file.write_all_at(data, 0).await;
             result?;
             file.sync_all().await?;
@@ -145,7 +157,7 @@
     fn append(&self, name: &str, offset: u64, data: Vec<u8>) -> LocalFuture<io::Result<()>> {
         let (path, folder) = (self.path.join(name), self.path.clone());
         Box::pin(async move {
-            let mut file = OpenOptions::new().write(true).create(true).open(path).await?;
+            let mut file = OpenOptions::new().write(true).create(true).open(&path).await.map_err(with_path(path))?;
             let BufResult(result, _) = file.write_all_at(data, offset).await;
             result?;
             file.sync_all().await?;
--- a/hub/src/consensus/election.rs
+++ b/hub/src/consensus/election.rs
@@ -175,7 +175,7 @@
             peer.sent_heartbeats.clear();
         }
         self.record_uncommitted();
-        self.log(format!("leading in term {}", self.durable.term));
+        self.log(format!("leading in term {}, version {}", self.durable.term, build_info::BUILD));
         self.send_heartbeats(clock);
         self.advance_commit(clock);
     }
--- a/hub/src/main.rs
+++ b/hub/src/main.rs
@@ -7,6 +7,7 @@
 #[compio::main]
 async fn main() {
     let flags = flags();
+    boot::exit_if_version_only(&flags, "hub", build_info::BUILD);
     if let Some(path) = boot::platform_settings_path(&flags, platform::SETTINGS_PATH_VARIABLE) {
         return on_platform(&flags, &path).await;
     }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -257,7 +257,13 @@
     });
     env.log(
         Component::Main,
-        format!("control node {} in zone {} serves {}", node_identity.name, node_identity.zone, config.http),
+        format!(
+            "control node {} in zone {} serves {}, version {}",
+            node_identity.name,
+            node_identity.zone,
+            config.http,
+            build_info::BUILD
+        ),
     );
     Ok(ControlNode { consensus, leadership, relay, endpoint, _tree: tree, _consensus_tasks: consensus_tasks })
 }
--- a/hub/tests/flags.rs
+++ b/hub/tests/flags.rs
@@ -49,3 +49,33 @@
     assert!(code == Some(1) && text.contains("holds no image"), "{code:?} {text}");
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// A record of a run tells which build was played.
+#[test]
+fn the_version_names_the_target_of_the_build() {
+    let out = Command::new(env!("CARGO_BIN_EXE_hub")).arg("--version").output().unwrap();
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(out.status.success() && text.starts_with("hub ") && text.contains(std::env::consts::ARCH), "{text}");
+}
+
+/// A control node that can't start says which address or file is at fault.
+#[test]
+fn an_address_in_use_and_a_data_folder_that_is_a_file_are_named() {
+    let folder = std::env::temp_dir().join(format!("portspoke-start-{}", std::process::id()));
+    let socket = std::net::TcpListener::bind("127.78.0.1:0").unwrap();
+    let peer = socket.local_addr().unwrap().to_string();
+    let run = |data: &std::path::Path| {
+        let mut args: Vec<&str> = vec!["--name", "h1", "--area", "north", "--http", "127.78.0.1:1", "--peer", &peer];
+        ["127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"].iter().for_each(|seed| args.extend(["--seed", seed]));
+        args.extend(["--data", data.to_str().unwrap()]);
+        let out = Command::new(env!("CARGO_BIN_EXE_hub")).args(args).output().unwrap();
+        (out.status.code(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+    };
+    let (code, text) = run(&folder);
+    assert!(code == Some(69) && text.contains(&peer), "{code:?} {text}");
+    let file = folder.join("file");
+    std::fs::write(&file, "").unwrap();
+    let (code, text) = run(&file);
+    assert!(code == Some(69) && text.contains(file.to_str().unwrap()), "{code:?} {text}");
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/spoke/src/main.rs
+++ b/spoke/src/main.rs
@@ -7,6 +7,7 @@
 #[compio::main]
 async fn main() {
     let flags = flags();
+    boot::exit_if_version_only(&flags, "spoke", build_info::BUILD);
     if let Some(path) = boot::platform_settings_path(&flags, platform::SETTINGS_PATH_VARIABLE) {
         return on_platform(&flags, &path).await;
     }
@@ -16,7 +17,7 @@
     let env = boot::system_env(None);
     let node = match spoke::run(&env, &config, Default::default()).await {
         Ok(node) => node,
-        Err(e) => boot::exit_cannot_start(&format!("http {} or peer {}: {e}", config.http, config.peer)),
+        Err(e) => boot::exit_cannot_start(&e.to_string()),
     };
     let apply = |config: &base::settings::NodeConfig| {
         node.apply_policy(&config.policy);
--- a/spoke/src/on_platform.rs
+++ b/spoke/src/on_platform.rs
@@ -25,8 +25,7 @@
 }
 
 async fn bind(env: &Env, addr: SocketAddr) -> io::Result<http::ListenerSlot> {
-    let with_address = |e: io::Error| io::Error::new(e.kind(), format!("{addr}: {e}"));
-    Ok(Rc::new(RefCell::new(Some(env.listen(addr).await.map_err(with_address)?))))
+    Ok(Rc::new(RefCell::new(Some(env.listen(addr).await?))))
 }
 
 /// Notifies the endpoint's sessions when this node is no longer ready to serve, so that idle ones are closed.
--- a/spoke/src/run.rs
+++ b/spoke/src/run.rs
@@ -421,7 +421,16 @@
         });
         http::serve(child_env.clone(), http_listener.clone(), child_endpoint.clone(), new_connection)
     });
-    env.log(Component::Main, format!("spoke {} in area {} serves {}", identity.name, identity.zone, config.http));
+    env.log(
+        Component::Main,
+        format!(
+            "spoke {} in area {} serves {}, version {}",
+            identity.name,
+            identity.zone,
+            config.http,
+            build_info::BUILD
+        ),
+    );
     Ok(Node { env: env.clone(), relay, endpoint, health, context, bounds, _tree: tree })
 }
 
