--- a/base/src/protocol/server.rs
+++ b/base/src/protocol/server.rs
@@ -6,7 +6,12 @@
 use futures::future::LocalBoxFuture;
 
 use super::{Statement, TransactionState};
-use crate::{http::CallError, position::Position, runtime::Env, runtime::LocalFuture};
+use crate::{
+    http::{CallError, Client},
+    position::Position,
+    runtime::Env,
+    runtime::LocalFuture,
+};
 
 /// Why a server did not execute a statement, which therefore had no effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,12 +103,11 @@
         group: &str,
         server: &str,
     ) -> LocalFuture<Result<Box<dyn ServerConnection>, CallError>>;
-    /// Requests a promotion from the platform; returns the status of the response.
-    fn promote(
-        &self,
-        env: &Env,
-        addr: SocketAddr,
-        promotion: &Promotion,
+    /// Requests a promotion on a connection to the platform; returns the status of the response.
+    fn promote<'a>(
+        &'a self,
+        platform: &'a mut Client,
+        promotion: &'a Promotion,
         timeout: Duration,
-    ) -> LocalFuture<Result<u16, CallError>>;
+    ) -> LocalBoxFuture<'a, Result<u16, CallError>>;
 }
--- a/hub/src/leadership/confirming.rs
+++ b/hub/src/leadership/confirming.rs
@@ -233,6 +233,7 @@
             leases_released: self.leases.borrow().primary_free(&group.name, now),
             first_election_due: group.servers.len() > 1 && now > term_start + missed_after * 2,
             may_promote: self.may_promote(&group.name),
+            promotions_settled: leadership.replicas_resumed || self.disabled.step_down_unsettled,
         }
     }
 
--- a/hub/src/leadership/hand_over.rs
+++ b/hub/src/leadership/hand_over.rs
@@ -2,22 +2,27 @@
 //!
 //! docs/group-leadership.md lists the states of a hand-over and how each ends.
 
-use base::{protocol::StatementKind, runtime::Component};
+use base::{http::Client, protocol::StatementKind, runtime::Component};
 use wire::{Group, Image};
 
 use super::{GroupLeadership, Leadership, confirming::ConfirmingServer, promotion::STATUS_OK};
 
 impl Leadership {
-    /// Hands over from a primary that leads, once the platform answers: a primary that has stepped down while the
-    /// platform can't be called leaves its group without one.
+    /// Hands over from a primary that leads, once the platform can be reached: a primary that has stepped down while the
+    /// platform is down leaves its group without one. The platform is not asked to promote the present primary to find
+    /// out: it may carry that out after the primary has stepped down.
     pub(super) async fn hand_over(&self, group: &Group, image: &Image, leadership: &GroupLeadership) {
         let primary = &leadership.server;
-        if !self.disabled.step_down_unasked && self.promote(group, primary).await != Some(STATUS_OK) {
-            return;
+        let connection = self.connect_to_platform(group).await;
+        if let Err(error) = &connection
+            && !self.disabled.step_down_unconnected
+        {
+            let text = format!("the platform can't be reached ({error}); {primary} stays primary of {}", group.name);
+            return self.log(Component::Election, text);
         }
         let Some(successor) = self.successor(group, image, leadership, false) else { return };
         self.log(Component::Election, format!("{primary} hands {} over to {successor}", group.name));
-        self.transfer_primary(group, primary, &successor).await;
+        self.transfer_primary(group, primary, &successor, connection.ok()).await;
     }
 
     /// Promotes a server in a group in which nobody leads, because its primary stepped down. Until this control node
@@ -29,7 +34,7 @@
         let primary = &leadership.server;
         let Some(successor) = self.successor(group, image, leadership, true) else { return };
         self.log(Component::Election, format!("nobody leads {}: {primary} stepped down", group.name));
-        self.transfer_primary(group, primary, &successor).await;
+        self.transfer_primary(group, primary, &successor, None).await;
     }
 
     /// The server to promote: the requested one if it may lead, otherwise the eligible one with the highest position, the
@@ -70,7 +75,7 @@
     /// Has the old primary step down, so that it confirms no further commits, and promotes `next` once it holds
     /// everything that the old primary holds then; otherwise promotes the old primary again. This does not rely on the
     /// list of servers: one that has not registered yet may replicate already.
-    async fn transfer_primary(&self, group: &Group, from: &str, next: &str) {
+    async fn transfer_primary(&self, group: &Group, from: &str, next: &str, platform: Option<Client>) {
         self.update_group(&group.name, |state| state.requested_primary = None);
         let epoch = self.highest_epoch(group) + 1;
         if self.disabled.any_membership {
@@ -100,7 +105,11 @@
         let caught_up = self.env.timeout(self.bounds.server_missed_after() / 2, wait).await.is_ok();
         let name = if caught_up { next } else { from };
         self.log(Component::Election, format!("{from} stepped down; promoting {name} in {}", group.name));
-        if self.promote(group, name).await == Some(STATUS_OK) {
+        let connection = match platform.filter(Client::is_open) {
+            Some(open) => Ok(open),
+            None => self.connect_to_platform(group).await,
+        };
+        if self.promote_over(connection, group, name).await == Some(STATUS_OK) {
             self.await_primary(group, name, epoch).await;
         }
     }
--- a/hub/src/leadership/promotion.rs
+++ b/hub/src/leadership/promotion.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{
-    http::CallError,
+    http::{CallError, Client},
     protocol::{Promotion, StatementKind},
     runtime::Component,
 };
@@ -11,6 +11,9 @@
 
 use super::{Leadership, confirming::ConfirmingServer};
 
+/// The largest response of the platform that is read, in bytes.
+const MAX_PLATFORM_RESPONSE_BYTES: usize = 64 << 10;
+
 /// How many low bits of a fencing token count the promotions within a term; the bits above hold the term.
 const PROMOTION_COUNT_BITS: u32 = 20;
 
@@ -120,18 +123,46 @@
         self.term.get() << PROMOTION_COUNT_BITS | *count
     }
 
+    /// Connects to the platform. A connection that fails counts as a failed call; it has no effect.
+    pub(super) async fn connect_to_platform(&self, group: &Group) -> Result<Client, CallError> {
+        let address = self.platform_address.get().ok_or(CallError::NotSent)?;
+        let connection =
+            Client::connect(&self.env, address, self.bounds.call_timeout(), MAX_PLATFORM_RESPONSE_BYTES).await;
+        if connection.is_err() {
+            self.record_promotion_call(&group.name, false);
+        }
+        connection
+    }
+
     /// Asks the platform to promote a server. Returns the status of the response, or nothing if no response came.
     pub(super) async fn promote(&self, group: &Group, server: &str) -> Option<u16> {
-        let (address, protocol) = (self.platform_address.get()?, self.server_protocol.clone()?);
+        let connection = self.connect_to_platform(group).await;
+        self.promote_over(connection, group, server).await
+    }
+
+    /// As [`Leadership::promote`], on a connection that was opened before.
+    pub(super) async fn promote_over(
+        &self,
+        connection: Result<Client, CallError>,
+        group: &Group,
+        server: &str,
+    ) -> Option<u16> {
+        let protocol = self.server_protocol.clone()?;
         let promotion = Promotion {
             group: group.name.clone(),
             server: server.into(),
             holder: self.relay.identity.name.clone(),
             fencing_token: self.fencing_token(&group.name, server),
         };
-        let result = protocol.promote(&self.env, address, &promotion, self.bounds.call_timeout()).await;
-        let taken = matches!(result, Ok(status) if status < FIRST_SERVER_ERROR && status != TOO_MANY_CALLS);
-        self.record_promotion_call(&group.name, taken);
+        let result = match connection {
+            Ok(mut platform) => {
+                let result = protocol.promote(&mut platform, &promotion, self.bounds.call_timeout()).await;
+                let taken = matches!(result, Ok(status) if status < FIRST_SERVER_ERROR && status != TOO_MANY_CALLS);
+                self.record_promotion_call(&group.name, taken);
+                result
+            }
+            Err(error) => Err(error),
+        };
         match result {
             Ok(STATUS_OK) => Some(STATUS_OK),
             Ok(status) => {
--- a/hub/src/leadership/supervision.rs
+++ b/hub/src/leadership/supervision.rs
@@ -50,6 +50,8 @@
     pub first_election_due: bool,
     /// The platform may be called now.
     pub may_promote: bool,
+    /// No promotion of the known primary may still be carried out.
+    pub promotions_settled: bool,
 }
 
 /// What to do next for a group.
@@ -63,7 +65,8 @@
     ElectFirst,
     /// Elect another primary from the logs of all other servers.
     FailOver,
-    /// Have the primary, which leads, step down, and promote another server.
+    /// Have the primary, which leads, step down, and promote another server. If a promotion of the old primary were
+    /// carried out afterwards, it would confirm commits that the other one lacks.
     HandOver,
     /// Promote a server, as nobody leads: the known primary has stepped down.
     PromoteSuccessor,
@@ -96,7 +99,7 @@
             };
         }
         let is_wanted = (self.must_be_relieved && self.other_is_eligible) || self.requested_is_eligible;
-        if is_wanted && self.may_promote {
+        if is_wanted && self.may_promote && self.promotions_settled {
             return NextStep::HandOver;
         }
         NextStep::Keep { grant_leases: self.is_primary() && self.responsiveness == Responsiveness::Responding }
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -68,8 +68,10 @@
     pub refuse_forgotten: bool,
     /// Leave a group without a primary when the reason of a hand-over is withdrawn after the primary stepped down.
     pub leave_hand_over: bool,
-    /// Have a primary step down for a hand-over without knowing whether the platform answers.
-    pub step_down_unasked: bool,
+    /// Have a primary step down for a hand-over although the platform can't be reached.
+    pub step_down_unconnected: bool,
+    /// Have a primary step down although the platform may still carry out a promotion of it.
+    pub step_down_unsettled: bool,
     /// Keep replicas suspended for the rest of the term after a promotion whose outcome is unknown.
     pub forget_unknown_promotions: bool,
     /// Acknowledge that a server drains or ends before a majority has recorded it, and let late heartbeats undo it.
