An address in use is tried again for two seconds at the start

A control node or node whose address is still held by the process before it ended with 69 at once, and nothing starts it again in that case. Now it tries five times, half a second apart, and says so.

Test: an_address_that_becomes_free_is_taken (hub/tests/flags.rs).

--- a/base/src/runtime/env.rs
+++ b/base/src/runtime/env.rs
@@ -17,6 +17,11 @@
 
 use super::{Component, Disk, Listener, Runtime, Stream};
 
+/// How often an address in use is tried to listen on.
+const MAX_LISTEN_ATTEMPTS: u32 = 5;
+/// The pause between two of these attempts.
+const LISTEN_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A handle to the runtime, through which tasks use clock, network, disk and randomness; cheap to clone.
 #[derive(Clone)]
 pub struct Env(Rc<dyn Runtime>);
@@ -100,10 +105,23 @@
         if limit == 0 { 0 } else { self.0.rand() % limit }
     }
 
-    /// Binds an address and listens on it.
+    /// Binds an address and listens on it. An address in use is tried again for a while, as the process that held it may
+    /// be about to end.
     pub async fn listen(&self, addr: SocketAddr) -> io::Result<Rc<dyn Listener>> {
-        let with_address = |error: io::Error| io::Error::new(error.kind(), format!("{addr}: {error}"));
-        self.0.listen(addr).await.map_err(with_address)
+        let mut attempts = 1;
+        loop {
+            match self.0.listen(addr).await {
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse && attempts < MAX_LISTEN_ATTEMPTS => {
+                    self.log(Component::Main, format!("{addr} is in use, attempt {attempts} of {MAX_LISTEN_ATTEMPTS}"));
+                    self.sleep(LISTEN_RETRY_INTERVAL).await;
+                    attempts += 1;
+                }
+                result => {
+                    let with_address = |error: io::Error| io::Error::new(error.kind(), format!("{addr}: {error}"));
+                    return result.map_err(with_address);
+                }
+            }
+        }
     }
 
     /// Opens a stream to an address; fails with `io::ErrorKind::TimedOut` after `timeout`.
--- a/hub/tests/flags.rs
+++ b/hub/tests/flags.rs
@@ -79,3 +79,30 @@
     assert!(code == Some(69) && text.contains(file.to_str().unwrap()), "{code:?} {text}");
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// A control node whose address is still held by an earlier process starts once that one has ended.
+#[test]
+fn an_address_that_becomes_free_is_taken() {
+    let folder = std::env::temp_dir().join(format!("portspoke-free-{}", std::process::id()));
+    let socket = std::net::TcpListener::bind("127.79.0.1:0").unwrap();
+    let peer = socket.local_addr().unwrap().to_string();
+    let http = std::net::TcpListener::bind("127.79.0.2:0").unwrap().local_addr().unwrap().to_string();
+    let mut args: Vec<&str> = vec!["--name", "h1", "--area", "north", "--http", &http, "--peer", &peer];
+    ["127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"].iter().for_each(|seed| args.extend(["--seed", seed]));
+    args.extend(["--data", folder.to_str().unwrap()]);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hub"))
+        .args(&args)
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut lines = std::io::BufRead::lines(std::io::BufReader::new(child.stdout.take().unwrap()));
+    let mut next_with = |text: &str| lines.by_ref().map_while(Result::ok).any(|line| line.contains(text));
+    let is_waiting = next_with("is in use");
+    drop(socket);
+    let is_started = next_with("serves");
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_dir_all(folder).unwrap();
+    assert!(is_waiting && is_started, "waited: {is_waiting}, started: {is_started}");
+}
