Membership changes and measurements as structs; one impl block where there were two

No behaviour changes. `SelectionLists::record_statement` took a pair of times and six arguments: `Measurement`. Tests of hub, spoke and pick, and selection, departures, elections and hand_overs of kit: passed.

--- a/hub/src/leadership/registration.rs
+++ b/hub/src/leadership/registration.rs
@@ -25,6 +25,64 @@
             None => format!("{server} is registered in {group}"),
         }
     }
+
+    /// Adds the server to its group, in place of the one that it replaces.
+    fn apply(&self, image: &mut Image) {
+        let Some(group) = image.groups.iter_mut().find(|group| group.name == self.group) else { return };
+        if group.servers.contains(&self.server) {
+            return;
+        }
+        group.servers.retain(|server| Some(server) != self.replaces.as_ref());
+        group.servers.push(self.server.clone());
+        image.server_addresses.retain(|address| address.server != self.server);
+        image.server_addresses.push(self.address.clone());
+    }
+}
+
+/// What is recorded of the groups' servers in one change.
+struct MembershipChanges {
+    registrations: Vec<Registration>,
+    /// The groups whose list of servers was found complete.
+    complete: Vec<GroupMembership>,
+    /// The servers that said that they leave.
+    departures: Vec<Departure>,
+}
+
+impl MembershipChanges {
+    fn is_empty(&self) -> bool {
+        self.registrations.is_empty() && self.complete.is_empty() && self.departures.is_empty()
+    }
+
+    /// The log lines for the changes.
+    fn log_lines(&self) -> Vec<String> {
+        let complete = self.complete.iter().map(|membership| {
+            format!("the list of the {} servers of {} is complete", membership.servers, membership.group)
+        });
+        self.registrations.iter().map(Registration::text).chain(complete).collect()
+    }
+
+    /// The image with these changes.
+    fn apply(&self, image: &Image) -> Image {
+        let mut image = image.clone();
+        image.departures.retain(|old| self.departures.iter().all(|new| new.server != old.server));
+        image.departures.extend_from_slice(&self.departures);
+        self.registrations.iter().for_each(|registration| registration.apply(&mut image));
+        self.complete.iter().for_each(|membership| record_complete(&mut image, membership));
+        let kept: Vec<&String> = image.groups.iter().flat_map(|group| &group.servers).collect();
+        image.server_addresses.retain(|address| kept.contains(&&address.server));
+        image.departures.retain(|departure| kept.contains(&&departure.server));
+        image
+    }
+}
+
+/// Records that a group's list of servers is complete. A list that changed meanwhile is checked again later.
+fn record_complete(image: &mut Image, membership: &GroupMembership) {
+    let is_same = |group: &Group| group.name == membership.group && group.servers.len() as u64 == membership.servers;
+    let is_current = image.groups.iter().any(is_same);
+    image.group_memberships.retain(|old| old.group != membership.group);
+    if is_current {
+        image.group_memberships.push(membership.clone());
+    }
 }
 
 impl Leadership {
@@ -48,19 +106,17 @@
                 }
                 continue;
             }
-            let registrations: Vec<Registration> = open().flat_map(|group| self.pending_registrations(group)).collect();
-            let complete = self.newly_complete(&image);
-            let departures = self.unrecorded_departures(&image);
-            if registrations.is_empty() && complete.is_empty() && departures.is_empty() {
+            let changes = MembershipChanges {
+                registrations: open().flat_map(|group| self.pending_registrations(group)).collect(),
+                complete: self.newly_complete(&image),
+                departures: self.unrecorded_departures(&image),
+            };
+            if changes.is_empty() {
                 continue;
             }
-            let mut log_lines: Vec<String> = registrations.iter().map(Registration::text).collect();
-            log_lines.extend(complete.iter().map(|membership| {
-                format!("the list of the {} servers of {} is complete", membership.servers, membership.group)
-            }));
-            let has_registrations = !registrations.is_empty();
-            let change = move |image: &Image| register(image, &registrations, &complete, &departures);
-            if self.consensus.propose(change).await.is_ok() {
+            let log_lines = changes.log_lines();
+            let has_registrations = !changes.registrations.is_empty();
+            if self.consensus.propose(move |image| Ok(changes.apply(image))).await.is_ok() {
                 log_lines.iter().for_each(|line| self.log(Component::Election, line));
                 if has_registrations {
                     self.publish_soon();
@@ -173,40 +229,3 @@
         .for_each(|membership| membership.servers = 0);
     Ok(image)
 }
-
-/// Adds servers to their groups, and records which lists of servers are complete, and which servers leave.
-fn register(
-    image: &Image,
-    registrations: &[Registration],
-    complete: &[GroupMembership],
-    departures: &[Departure],
-) -> Result<Image, ErrorKind> {
-    let mut image = image.clone();
-    image.departures.retain(|old| departures.iter().all(|new| new.server != old.server));
-    image.departures.extend_from_slice(departures);
-    for registration in registrations {
-        let Some(group) = image.groups.iter_mut().find(|group| group.name == registration.group) else { continue };
-        if group.servers.contains(&registration.server) {
-            continue;
-        }
-        group.servers.retain(|server| Some(server) != registration.replaces.as_ref());
-        group.servers.push(registration.server.clone());
-        image.server_addresses.retain(|address| address.server != registration.server);
-        image.server_addresses.push(registration.address.clone());
-    }
-    for membership in complete {
-        // A list that changed meanwhile is checked again later.
-        let same = image
-            .groups
-            .iter()
-            .any(|group| group.name == membership.group && group.servers.len() as u64 == membership.servers);
-        image.group_memberships.retain(|old| old.group != membership.group);
-        if same {
-            image.group_memberships.push(membership.clone());
-        }
-    }
-    let kept: Vec<&String> = image.groups.iter().flat_map(|group| &group.servers).collect();
-    image.server_addresses.retain(|address| kept.contains(&&address.server));
-    image.departures.retain(|departure| kept.contains(&&departure.server));
-    Ok(image)
-}
--- a/hub/src/operator/apply.rs
+++ b/hub/src/operator/apply.rs
@@ -52,9 +52,7 @@
         let note = if change.note.is_empty() { &old.note } else { &change.note };
         Ok(Self { routes, groups, limits: change.limits.clone().unwrap_or_else(|| limits(old)), note: note.clone() })
     }
-}
 
-impl RequestedConfiguration {
     /// The number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/spoke/src/health/lists.rs
+++ b/spoke/src/health/lists.rs
@@ -15,6 +15,19 @@
 /// The statement kind of a list that is common to all kinds of a database.
 const ANY_KIND: &str = "*";
 
+/// The outcome of one statement or position read at a server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Measurement<'a> {
+    /// When it ended.
+    pub(super) at: Duration,
+    /// How long measurements count.
+    pub(super) scoring_window: Duration,
+    pub(super) server: &'a str,
+    pub(super) outcome: Outcome,
+    /// The response time; zero for a position read.
+    pub(super) latency: Duration,
+}
+
 /// An eligible set, with its measurements and weights.
 #[derive(Clone, Default)]
 pub struct SelectionList {
@@ -36,16 +49,17 @@
         Self { group: group.into(), ..Self::default() }
     }
 
-    fn record(&mut self, now: Duration, window: Duration, server: &str, outcome: Outcome, latency: Duration) {
+    fn record(&mut self, measurement: Measurement) {
+        let Measurement { at, scoring_window, server, outcome, latency } = measurement;
         if !matches!(outcome, Outcome::Probe | Outcome::ProbeFailed) {
             self.has_new_measurements = true;
-            self.last_statement_at = now;
+            self.last_statement_at = at;
         }
         if !self.windows.contains_key(server) {
-            self.windows.insert(server.into(), Window::new(window));
+            self.windows.insert(server.into(), Window::new(scoring_window));
         }
         if let Some(measured) = self.windows.get_mut(server) {
-            measured.record(now, outcome, latency);
+            measured.record(at, outcome, latency);
         }
     }
 }
@@ -134,16 +148,8 @@
         self.of_groups.len() + self.of_databases.len()
     }
 
-    /// Records the outcome of a statement in the list of its database, which is added if it has none.
-    pub(super) fn record_statement(
-        &mut self,
-        key: &ListKey,
-        group: &str,
-        (now, window): (Duration, Duration),
-        server: &str,
-        outcome: Outcome,
-        latency: Duration,
-    ) {
+    /// Records a statement in the list of its database, which is added if it has none.
+    pub(super) fn record_statement(&mut self, key: &ListKey, group: &str, measurement: Measurement) {
         let common_key;
         let key = if self.of_databases.len() >= MAX_LISTS_WITH_KIND && !self.of_databases.contains_key(key) {
             common_key = (key.0.clone(), ANY_KIND.into());
@@ -156,16 +162,15 @@
             self.of_databases.insert(key.clone(), list);
         }
         if let Some(list) = self.of_databases.get_mut(key) {
-            list.record(now, window, server, outcome, latency);
+            list.record(measurement);
         }
     }
 
-    /// Records the outcome of a position read in every list of the server's group.
-    pub(super) fn record_probe(&mut self, group: &str, now: Duration, window: Duration, server: &str, succeeded: bool) {
-        let outcome = if succeeded { Outcome::Probe } else { Outcome::ProbeFailed };
+    /// Records a position read in every list of the server's group.
+    pub(super) fn record_probe(&mut self, group: &str, measurement: Measurement) {
         let of_databases = self.of_databases.values_mut().filter(|list| list.group == group);
         for list in self.of_groups.get_mut(group).into_iter().chain(of_databases) {
-            list.record(now, window, server, outcome, Duration::ZERO);
+            list.record(measurement);
         }
     }
 
--- a/spoke/src/health/mod.rs
+++ b/spoke/src/health/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::view::Journal;
 
+use lists::Measurement;
 pub use lists::{ListName, SelectionList, SelectionLists};
 
 /// How many positions of a group's primary are kept.
@@ -130,20 +131,23 @@
     pub fn record(&self, key: &ListKey, server: &str, outcome: Outcome, latency: Duration) {
         let view = self.journal.view();
         let Some(route) = view.route(&key.0) else { return };
-        let times = (self.env.now(), self.window());
-        self.lists.borrow_mut().record_statement(key, &route.group, times, server, outcome, latency);
+        let measurement = self.measurement(server, outcome, latency);
+        self.lists.borrow_mut().record_statement(key, &route.group, measurement);
     }
 
     /// Records the outcome of a position read in every list of the server's group.
     fn record_probe(&self, server: &str, succeeded: bool) {
         let view = self.journal.view();
         let Some(group) = view.group_of(server) else { return };
-        self.lists.borrow_mut().record_probe(&group.name, self.env.now(), self.window(), server, succeeded);
+        let outcome = if succeeded { Outcome::Probe } else { Outcome::ProbeFailed };
+        let measurement = self.measurement(server, outcome, Duration::ZERO);
+        self.lists.borrow_mut().record_probe(&group.name, measurement);
     }
 
-    /// The duration of the scoring window.
-    fn window(&self) -> Duration {
-        Duration::from_millis(self.policy.borrow().window_ms)
+    /// A measurement that ends now.
+    fn measurement<'a>(&self, server: &'a str, outcome: Outcome, latency: Duration) -> Measurement<'a> {
+        let scoring_window = Duration::from_millis(self.policy.borrow().window_ms);
+        Measurement { at: self.env.now(), scoring_window, server, outcome, latency }
     }
 
     /// Records a position that a server showed in its response to a request sent at `requested_at`.
