A promotion that may still be carried out holds back leases, replicas and other promotions; a model check

Found by a model check of the decision (`hub/tests/supervision_model.rs`), each as a lost commit with its trace: - a new leading control node had replicas resume that it had suspended itself, before it had fenced off an earlier one's call; - a primary that turned up was granted leases while a promotion of another server was under way; - two servers could be promoted one after the other with both outcomes unknown; - a repeated call for one server had the token of the first, so that a late first call was not refused after the second; - beside them, in the model of the mend: leases on the old primary stayed granted while another led (nobody leads for good).

Change: replicas resume only once earlier promotions are fenced off, whoever called; a reported primary is adopted then, or if the newest call was to promote it; while an outcome is unknown the same server is promoted again, or another once no lease can be in force; each call has a token of its own. Requests for a more reachable primary are not made before a hand-over could follow.

--- a/hub/src/leadership/confirming.rs
+++ b/hub/src/leadership/confirming.rs
@@ -234,6 +234,8 @@
             first_election_due: group.servers.len() > 1 && now > term_start + missed_after * 2,
             may_promote: self.may_promote(&group.name),
             promotions_settled: leadership.replicas_resumed || self.disabled.step_down_unsettled,
+            reported_is_last_promoted: observed
+                .is_some_and(|primary| self.is_last_promoted(&group.name, &primary.name)),
         }
     }
 
@@ -266,11 +268,14 @@
             );
             self.relay.request_heartbeats();
         }
-        if is_primary && !leadership.promotion_outcome_unknown {
+        if is_primary && self.may_resume_replicas(leadership) {
             self.resume_suspended(group, &leadership.server);
         }
         self.drop_request_that_cannot_be_met(group, image, leadership);
-        self.check_confirming_reachability(group, image, leadership);
+        if leadership.replicas_resumed {
+            // Before that a hand-over would have to wait, and its reason might be gone by then.
+            self.check_confirming_reachability(group, image, leadership);
+        }
     }
 
     /// Resumes replication on servers that an abandoned failover had suspended, now that the primary answers again.
@@ -397,9 +402,11 @@
             state.requested_primary = None;
             state.less_reachable_since = None;
         });
-        // Servers that were suspended for this election resume replication.
-        let others = group.servers.iter().filter(|server| **server != primary.name);
-        others.for_each(|server| self.queue_order(server, StatementKind::ResumeReplication));
+        if self.may_resume_replicas(leadership) {
+            // Servers that were suspended for this election resume replication.
+            let others = group.servers.iter().filter(|server| **server != primary.name);
+            others.for_each(|server| self.queue_order(server, StatementKind::ResumeReplication));
+        }
         self.relay.request_heartbeats();
         self.state_changed.notify_waiters();
     }
--- a/hub/src/leadership/elections.rs
+++ b/hub/src/leadership/elections.rs
@@ -42,6 +42,9 @@
     pub handover_deadline: Option<Duration>,
     /// The outcome of a promotion in this term is unknown: it may still be carried out.
     pub promotion_outcome_unknown: bool,
+    /// The server that the newest call of this term was to make primary; empty if there was none, or if that call was for
+    /// a server that led already.
+    pub last_promoted: String,
     /// How many calls to promote a server have failed in a row.
     pub failed_promotion_calls: u32,
     /// No server is promoted before this time, as the platform did not take the last call.
--- a/hub/src/leadership/failover.rs
+++ b/hub/src/leadership/failover.rs
@@ -98,19 +98,20 @@
             suspended_servers.max_by_key(|(server, status)| (status.position, eligible(server))).map(|best| best.0)
         };
         let Some(best) = best else { return };
+        if self.leadership_of(&group.name).promotion_outcome_unknown && !self.may_promote_another(group, &best) {
+            return;
+        }
         self.log(Component::Election, format!("promoting {best} in {}", group.name));
+        self.update_group(&group.name, |state| state.last_promoted.clone_from(&best));
         if self.promote(group, &best).await != Some(STATUS_OK) {
             return;
         }
         self.await_primary(group, &best, epoch).await;
     }
 
-    /// Has the replicas resume that a failover without a promotion suspended. While an earlier promotion may still be
-    /// carried out they stay suspended, as the promoted one would lack what only another had received by then; they
-    /// resume once that promotion is fenced off.
+    /// Has the replicas resume that a failover without a promotion suspended, once they may.
     fn resume_after_abandoned_failover(&self, group: &Group, replicas: &[String]) {
-        let may_be_carried_out = self.leadership_of(&group.name).promotion_outcome_unknown;
-        if !may_be_carried_out || self.disabled.forget_unknown_promotions {
+        if self.may_resume_replicas(&self.leadership_of(&group.name)) {
             self.resume_all(replicas);
         }
     }
--- a/hub/src/leadership/hand_over.rs
+++ b/hub/src/leadership/hand_over.rs
@@ -33,16 +33,27 @@
         }
         let primary = &leadership.server;
         let Some(successor) = self.successor(group, image, leadership, true) else { return };
+        if !leadership.replicas_resumed && !self.may_promote_another(group, &successor) {
+            return;
+        }
         self.log(Component::Election, format!("nobody leads {}: {primary} stepped down", group.name));
         self.transfer_primary(group, primary, &successor, None).await;
     }
 
     /// The server to promote: the requested one if it may lead, otherwise the eligible one with the highest position, the
-    /// primary itself among them if it `may_stay`.
+    /// primary itself among them if it `may_stay`. While it is unknown whether the last promotion will be carried out, it
+    /// is that one's server again: two promotions under way could each make a server primary that lacks commits of the
+    /// other.
     fn successor(&self, group: &Group, image: &Image, leadership: &GroupLeadership, may_stay: bool) -> Option<String> {
         let since = self.env.now().saturating_sub(self.bounds.server_missed_after());
         let statuses = self.statuses_since(group, image, since);
         let is_primary = |status: &ConfirmingServer| status.name == leadership.server;
+        let is_unresolved = |status: &&ConfirmingServer| self.is_last_promoted(&group.name, &status.name) && may_stay;
+        if leadership.promotion_outcome_unknown
+            && let Some(unresolved) = statuses.iter().find(is_unresolved)
+        {
+            return Some(unresolved.name.clone());
+        }
         let is_requested = |status: &ConfirmingServer| leadership.requested_primary.as_ref() == Some(&status.name);
         statuses
             .iter()
@@ -105,6 +116,7 @@
         let caught_up = self.env.timeout(self.bounds.server_missed_after() / 2, wait).await.is_ok();
         let name = if caught_up { next } else { from };
         self.log(Component::Election, format!("{from} stepped down; promoting {name} in {}", group.name));
+        self.update_group(&group.name, |state| state.last_promoted = name.into());
         let connection = match platform.filter(Client::is_open) {
             Some(open) => Ok(open),
             None => self.connect_to_platform(group).await,
--- a/hub/src/leadership/mod.rs
+++ b/hub/src/leadership/mod.rs
@@ -70,8 +70,8 @@
     servers: RefCell<BTreeMap<String, ServerRecord>>,
     /// Nodes by name, as of their last heartbeat.
     nodes: RefCell<BTreeMap<String, NodeRecord>>,
-    /// By group, how often the server to promote changed in this term, and the last one.
-    promotion_counts: RefCell<BTreeMap<String, (u64, String)>>,
+    /// By group, how often the platform was called to promote a server in this term.
+    promotion_call_counts: RefCell<BTreeMap<String, u64>>,
     /// The nodes in the latest snapshot.
     published_nodes: RefCell<Vec<wire::Node>>,
     /// The image of the latest snapshot, and the part of it that nodes need.
@@ -132,7 +132,7 @@
             server_statuses: RefCell::default(),
             servers: RefCell::default(),
             nodes: RefCell::default(),
-            promotion_counts: RefCell::default(),
+            promotion_call_counts: RefCell::default(),
             published_nodes: RefCell::default(),
             published_image: RefCell::default(),
             leases: RefCell::default(),
@@ -215,7 +215,7 @@
         self.membership_phases.borrow_mut().clear();
         self.server_lists.borrow_mut().clear();
         self.pending_elections.borrow_mut().clear();
-        self.promotion_counts.borrow_mut().clear();
+        self.promotion_call_counts.borrow_mut().clear();
         self.refusing_servers.borrow_mut().clear();
         self.server_statuses.borrow_mut().clear();
         // What was reported to the previous leader is in its latest snapshot; the rest is soon reported again.
--- a/hub/src/leadership/promotion.rs
+++ b/hub/src/leadership/promotion.rs
@@ -14,7 +14,7 @@
 /// The largest response of the platform that is read, in bytes.
 const MAX_PLATFORM_RESPONSE_BYTES: usize = 64 << 10;
 
-/// How many low bits of a fencing token count the promotions within a term; the bits above hold the term.
+/// How many low bits of a fencing token count the calls within a term; the bits above hold the term.
 const PROMOTION_COUNT_BITS: u32 = 20;
 
 /// How often the pause after a failed call to the platform doubles at most: from a third of a second to 1.3 s at the
@@ -54,7 +54,11 @@
                 });
             }
             None if !self.may_promote(&group.name) => {}
+            None if leadership.promotion_outcome_unknown
+                && leadership.server != primary.name
+                && !self.may_promote_another(group, "") => {}
             None => {
+                self.update_group(&group.name, |state| state.last_promoted.clear());
                 if self.promote(group, &primary.name).await == Some(STATUS_OK) {
                     self.update_group(&group.name, |state| state.fenced_at = Some(self.env.now()));
                 }
@@ -74,6 +78,15 @@
         }
     }
 
+    /// Whether suspended replicas may resume: no promotion of this or an earlier leader may still be carried out, which
+    /// would make a server primary that lacks what only another replica receives from now on.
+    pub(super) fn may_resume_replicas(&self, leadership: &super::GroupLeadership) -> bool {
+        if self.disabled.forget_unknown_promotions {
+            return !leadership.promotion_outcome_unknown;
+        }
+        leadership.replicas_resumed
+    }
+
     /// Records that a promotion may still be carried out, so that the next observed primary is fenced against it.
     fn record_unknown_outcome(&self, group: &str) {
         if self.disabled.forget_unknown_promotions {
@@ -111,14 +124,13 @@
         });
     }
 
-    /// A number that rises with the term and, within it, with each promotion of another server. A call whose response
-    /// was lost may arrive after a later call; the platform then refuses it.
-    pub(super) fn fencing_token(&self, group: &str, server: &str) -> u64 {
-        let mut promotion_counts = self.promotion_counts.borrow_mut();
-        let (count, last) = promotion_counts.entry(group.into()).or_default();
-        if last != server && !self.disabled.one_fencing_token {
+    /// A number that rises with the term and, within it, with each call for a group. A call whose response was lost may
+    /// arrive after a later call; the platform then refuses it.
+    pub(super) fn fencing_token(&self, group: &str) -> u64 {
+        let mut call_counts = self.promotion_call_counts.borrow_mut();
+        let count = call_counts.entry(group.into()).or_default();
+        if !self.disabled.one_fencing_token {
             *count += 1;
-            *last = server.into();
         }
         self.term.get() << PROMOTION_COUNT_BITS | *count
     }
@@ -134,6 +146,19 @@
         connection
     }
 
+    /// Whether the newest call to promote a server in this term was to make this one primary.
+    pub(super) fn is_last_promoted(&self, group: &str, server: &str) -> bool {
+        self.leadership_of(group).last_promoted == server
+    }
+
+    /// Whether a server may be promoted while a promotion of another one may still be carried out: only once no lease can
+    /// be in force under which commits of that other one would be acknowledged.
+    pub(super) fn may_promote_another(&self, group: &Group, server: &str) -> bool {
+        self.is_last_promoted(&group.name, server)
+            || self.leases.borrow().primary_free(&group.name, self.env.now())
+            || self.disabled.forget_unknown_promotions
+    }
+
     /// Asks the platform to promote a server. Returns the status of the response, or nothing if no response came.
     pub(super) async fn promote(&self, group: &Group, server: &str) -> Option<u16> {
         let connection = self.connect_to_platform(group).await;
@@ -152,7 +177,7 @@
             group: group.name.clone(),
             server: server.into(),
             holder: self.relay.identity.name.clone(),
-            fencing_token: self.fencing_token(&group.name, server),
+            fencing_token: self.fencing_token(&group.name),
         };
         let result = match connection {
             Ok(mut platform) => {
--- a/hub/src/leadership/supervision.rs
+++ b/hub/src/leadership/supervision.rs
@@ -50,14 +50,16 @@
     pub first_election_due: bool,
     /// The platform may be called now.
     pub may_promote: bool,
-    /// No promotion of the known primary may still be carried out.
+    /// No promotion of this or an earlier leading control node may still be carried out.
     pub promotions_settled: bool,
+    /// The server that reports itself as primary is the last one that this control node had promoted.
+    pub reported_is_last_promoted: bool,
 }
 
 /// What to do next for a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum NextStep {
-    /// Nothing; a lease has to expire or a server has to answer first.
+    /// Nothing; a lease has to expire, a server to answer or a promotion to be fenced off first.
     Wait,
     /// Grant leases on the reported primary once none on another server can be in force.
     AdoptReported,
@@ -81,7 +83,14 @@
     /// The next step.
     pub fn next_step(self) -> NextStep {
         if self.reported == ReportedPrimary::Later {
-            return NextStep::AdoptReported;
+            // Commits of a primary would be lost if the promotion of another server were carried out after them.
+            return if self.promotions_settled || self.reported_is_last_promoted {
+                NextStep::AdoptReported
+            } else if self.has_known_primary {
+                NextStep::Keep { grant_leases: false }
+            } else {
+                NextStep::Wait
+            };
         }
         if !self.has_known_primary {
             let may_elect = self.first_election_due && self.leases_released && self.may_promote;
