A promotion that the platform took fences off earlier calls by itself

Trace: the leading control node changes as a primary is lost; the new one has a replica promoted at 12.80 s, and grants leases on it at 15.28 s in place of 13.16 s.

In a new term the promoted server was promoted once more to fence off earlier calls, which counted as the newest call, so that the server was adopted only once that was settled, a lease duration later.

Change: a promotion that was taken carries this term's token, so it is the fence. One call less in that case. The model check has the same rule and holds at the same depth.

--- a/hub/src/leadership/promotion.rs
+++ b/hub/src/leadership/promotion.rs
@@ -59,9 +59,7 @@
                 && !self.may_promote_another(group, "") => {}
             None => {
                 self.update_group(&group.name, |state| state.last_promoted.clear());
-                if self.promote(group, &primary.name).await == Some(STATUS_OK) {
-                    self.update_group(&group.name, |state| state.fenced_at = Some(self.env.now()));
-                }
+                self.promote(group, &primary.name).await;
             }
             Some(fenced_at) if !leadership.replicas_resumed && now > fenced_at + self.bounds.lease_duration() => {
                 group
@@ -189,7 +187,12 @@
             Err(error) => Err(error),
         };
         match result {
-            Ok(STATUS_OK) => Some(STATUS_OK),
+            Ok(STATUS_OK) => {
+                // The platform has seen this call's fencing token, and refuses all earlier calls from now on.
+                let now = self.env.now();
+                self.update_group(&group.name, |state| state.fenced_at = state.fenced_at.or(Some(now)));
+                Some(STATUS_OK)
+            }
             Ok(status) => {
                 // Only a refusal guarantees that the promotion is not carried out.
                 if status >= FIRST_SERVER_ERROR {
--- a/hub/tests/supervision_model.rs
+++ b/hub/tests/supervision_model.rs
@@ -200,7 +200,7 @@
                 next.accepted = next.accepted.with(server);
             }
             if outcome == CallOutcome::Accepted {
-                next.awaiting = true;
+                (next.awaiting, next.fenced) = (true, true);
             } else {
                 (next.outcome_unknown, next.fenced, next.settled) = (true, false, false);
             }
