The fence beside an unknown promotion waits for leases as the model check has it

Found by reading the change once more. `may_promote_another(group, "")` was to ask only whether a lease can be in force; with an empty name it also compared with `last_promoted`, which is empty after a fence call, and so said yes too early. The model check has the rule as it was meant. Now the lease table is asked directly.

Tests: supervision, supervision_model, hand_overs, platform_outages and duty passed.

--- a/hub/src/leadership/promotion.rs
+++ b/hub/src/leadership/promotion.rs
@@ -56,7 +56,7 @@
             None if !self.may_promote(&group.name) => {}
             None if leadership.promotion_outcome_unknown
                 && leadership.server != primary.name
-                && !self.may_promote_another(group, "") => {}
+                && !self.leases.borrow().primary_free(&group.name, now) => {}
             None => {
                 self.update_group(&group.name, |state| state.last_promoted.clear());
                 self.promote(group, &primary.name).await;
