--- /dev/null
+++ b/review/standin2/src/scenarios.rs
@@ -0,0 +1,20 @@
+//! The cases. Each returns whether the rule held; `None` if the case could not run.
+
+mod departed;
+mod evacuated;
+mod fuzz;
+mod late;
+
+use std::sync::Arc;
+
+use crate::deployment::Deployment;
+
+pub fn play(case: &str, deployment: &Arc<Deployment>, trouble: &str) -> Option<bool> {
+    match case {
+        "departed" => departed::play(deployment, trouble),
+        "evacuated" => evacuated::play(deployment, trouble),
+        "late" => late::play(deployment, trouble),
+        "fuzz" => fuzz::play(deployment, trouble),
+        _ => None,
+    }
+}
