--- a/review/standin2/src/database.rs
+++ b/review/standin2/src/database.rs
@@ -97,6 +97,12 @@
     pub leaving: BTreeMap<String, Instant>,
     /// How long the platform holds a call before it handles it.
     pub platform_delay: Duration,
+    /// 1: the platform acts and closes without an answer; 2: it acts and answers 500.
+    pub platform_unanswered: u8,
+    /// How late each third heartbeat comes.
+    pub late_heartbeats: Duration,
+    /// One answer in so many is lost; 0 for none.
+    pub lost_answers: u64,
     /// Commits cut back by a promotion.
     pub cut_back: std::collections::BTreeSet<String>,
     pub statements: u64,
@@ -300,6 +306,19 @@
                     None => return,
                 }
             };
+            let lost = {
+                let service = lock(&self.service);
+                service.lost_answers > 0
+                    && open
+                    && service.statements % service.lost_answers == 0
+                    && !line.contains(" - ")
+            };
+            if lost {
+                if line.len() % 2 == 0 {
+                    return;
+                }
+                continue;
+            }
             if !self.wait_while_silent() || self.stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
--- a/review/standin2/src/deployment.rs
+++ b/review/standin2/src/deployment.rs
@@ -109,7 +109,7 @@
     }
 
     /// The settings file of one role on one machine.
-    fn settings(&self, machine: &Machine, role: &str) -> String {
+    fn settings(&self, machine: &Machine, role: &str, first: bool) -> String {
         let seeds: Vec<String> =
             self.machines.iter().filter(|m| m.core).map(|m| format!("\"{}:{CONTROL}\"", m.ip)).collect();
         let data = self.folder.join(format!("{}-{role}", machine.name));
@@ -137,7 +137,7 @@
 region = "prairie"
 internal_port_range = [7440,7455]
 seed_nodes = [{seeds}]
-initial_start = true
+initial_start = {first}
 counted = {core}
 {disk}discovery_source = "registration"
 entry_type = "virtual_ip"
@@ -195,7 +195,9 @@
     /// Starts one program.
     pub fn start(&self, machine: &Machine, role: &str) -> bool {
         let path = self.folder.join(format!("{}-{role}.toml", machine.name));
-        if fs::write(&path, self.settings(machine, role)).is_err() {
+        let program = format!("{}.{role}", machine.name);
+        let first = self.children.lock().unwrap().iter().all(|(name, _)| *name != program);
+        if fs::write(&path, self.settings(machine, role, first)).is_err() {
             return false;
         }
         let log = fs::OpenOptions::new()
@@ -313,6 +315,11 @@
         true
     }
 
+    /// Removes the data of a control node.
+    pub fn wipe(&self, machine: &str) {
+        let _ = fs::remove_dir_all(self.folder.join(format!("{machine}-hub")));
+    }
+
     /// Sends a signal to a program of a machine.
     pub fn signal(&self, program: &str, signal: &str) {
         let children = self.children.lock().unwrap();
@@ -348,6 +355,16 @@
                             r#"{{"target_service":"{SERVICE}","address":"{address}","zone":"{zone}","release_no":"v1","capacity_slots":7,"state":"{state}","warmup_left_ms":0,"db_role":"{role}","call_seq":{sequence}}}"#
                         );
                         let path = format!("/api/instances/{name}");
+                        let late = lock(&service).late_heartbeats;
+                        if !late.is_zero() && sequence % 3 == 0 {
+                            // This one comes late; the next one may overtake it.
+                            let control = controls[turn % controls.len()].clone();
+                            thread::spawn(move || {
+                                thread::sleep(late);
+                                http(&control, "PUT", &path, "", &body);
+                            });
+                            break;
+                        }
                         let answer = http(&controls[turn % controls.len()], "PUT", &path, "", &body);
                         if answer.is_some_and(|(status, _)| (200..300).contains(&status)) {
                             break;
@@ -445,6 +462,7 @@
                     }
                 };
                 record.line(format!("platform: {holder} promotes {id} with fence {fence} -> {status}"));
+                let unanswered = lock(service).platform_unanswered;
                 if status == 200 && lock(service).primary != id {
                     let (service, record) = (service.clone(), record.clone());
                     thread::spawn(move || {
@@ -452,6 +470,11 @@
                         database::promote(&service, &id, &record);
                     });
                 }
+                let status = match unanswered {
+                    1 => return,
+                    2 => 500,
+                    _ => status,
+                };
                 let _ = stream.write_all(format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n").as_bytes());
                 let used = head.len() + 4 + length;
                 buffer.drain(..used);
--- a/review/standin2/src/scenarios.rs
+++ b/review/standin2/src/scenarios.rs
@@ -14,6 +14,12 @@
         "departed" => departed::play(deployment, trouble),
         "evacuated" => evacuated::play(deployment, trouble),
         "late" => late::play(deployment, trouble),
+        "hold" => {
+            let up = deployment.bring_up(3, "primary");
+            deployment.record.line(format!("{up} {:?}", deployment.controls()));
+            std::thread::sleep(std::time::Duration::from_secs(75));
+            Some(true)
+        }
         "fuzz" => fuzz::play(deployment, trouble),
         _ => None,
     }
--- a/review/standin2/src/scenarios/fuzz.rs
+++ b/review/standin2/src/scenarios/fuzz.rs
@@ -10,7 +10,7 @@
 use crate::{
     client::Session,
     database::{Expected, Shared, lock},
-    deployment::{Deployment, ZONES},
+    deployment::{Deployment, ZONES, http},
     record::Record,
 };
 
@@ -211,6 +211,7 @@
     for number in 1..=24 {
         run_client(deployment.service.clone(), record.clone(), ips.clone(), number, seed);
     }
+    run_operator(deployment.clone());
     thread::sleep(Duration::from_secs(6));
     let mut random = Random(seed.wrapping_mul(0x9E3779B97F4A7C15) | 1);
     for _ in 0..10 {
@@ -218,7 +219,23 @@
     }
     let kinds: Vec<&str> =
         std::env::var("KINDS").ok().map(|kinds| Vec::from_iter(kinds.leak().split(','))).unwrap_or_else(|| {
-            vec!["release", "crash", "deaf", "slow", "evacuate", "hubkill", "hubstop", "spokestop", "spoketerm", "cut"]
+            vec![
+                "release",
+                "crash",
+                "deaf",
+                "slow",
+                "evacuate",
+                "hubkill",
+                "hubstop",
+                "spokestop",
+                "spoketerm",
+                "cut",
+                "late",
+                "lost",
+                "unanswered",
+                "herd",
+                "wipe",
+            ]
         });
     let end = Instant::now() + Duration::from_secs(62);
     let mut servers = 3usize;
@@ -326,6 +343,53 @@
                     d.order("DELETE", &format!("/api/evacuation/{zone}"), "", "", Duration::from_secs(5));
                 });
             }
+            "late" => {
+                let (late, length) = (1000 + random.below(6000), 4000 + random.below(6000));
+                record.line(format!("heartbeats: each third comes {late} ms late for {length} ms"));
+                lock(&deployment.service).late_heartbeats = Duration::from_millis(late);
+                timers.push((after(length), Box::new(move |d| lock(&d.service).late_heartbeats = Duration::ZERO)));
+            }
+            "lost" => {
+                let (one_in, length) = (10 + random.below(60), 3000 + random.below(3000));
+                record.line(format!("answers: one in {one_in} is lost for {length} ms"));
+                lock(&deployment.service).lost_answers = one_in;
+                timers.push((after(length), Box::new(move |d| lock(&d.service).lost_answers = 0)));
+            }
+            "unanswered" => {
+                let (how, length) = (1 + random.below(2) as u8, 2000 + random.below(5000));
+                record.line(format!("platform: acts without a good answer ({how}) for {length} ms"));
+                lock(&deployment.service).platform_unanswered = how;
+                timers.push((after(length), Box::new(move |d| lock(&d.service).platform_unanswered = 0)));
+            }
+            "herd" => {
+                record.line("kill: all control nodes");
+                for machine in ["core-1", "core-2", "core-3"] {
+                    deployment.signal(&format!("{machine}.hub"), "-KILL");
+                    timers.push((
+                        after(200 + random.below(800)),
+                        Box::new(move |d| {
+                            let machine = d.machines.iter().find(|m| m.name == machine).unwrap();
+                            d.start(machine, "hub");
+                        }),
+                    ));
+                }
+                next = now + Duration::from_millis(6000);
+            }
+            "wipe" => {
+                let machine = deployment.machines[random.below(3) as usize].name.clone();
+                record.line(format!("kill and wipe: {machine}.hub"));
+                deployment.signal(&format!("{machine}.hub"), "-KILL");
+                thread::sleep(Duration::from_millis(50));
+                deployment.wipe(&machine);
+                timers.push((
+                    after(300 + random.below(800)),
+                    Box::new(move |d| {
+                        let machine = d.machines.iter().find(|m| m.name == machine).unwrap();
+                        d.start(machine, "hub");
+                    }),
+                ));
+                next = now + Duration::from_millis(6500);
+            }
             "hubkill" => {
                 let machine = deployment.machines[random.below(3) as usize].name.clone();
                 record.line(format!("kill: {machine}.hub"));
@@ -384,6 +448,70 @@
     Some(service.broken.is_empty())
 }
 
+/// Changes the configuration again and again, and reads it back at any control node.
+fn run_operator(deployment: Arc<Deployment>) {
+    let acknowledged: Arc<std::sync::Mutex<Vec<(u64, Instant)>>> = Arc::default();
+    let (reader, known) = (deployment.clone(), acknowledged.clone());
+    thread::spawn(move || {
+        let mut turn = 0;
+        while !lock(&reader.service).stop {
+            thread::sleep(Duration::from_millis(130));
+            let controls = reader.controls();
+            turn += 1;
+            let start = Instant::now();
+            let Some((200, body)) = http(&controls[turn % controls.len()], "GET", "/api/configuration", "", "") else {
+                continue;
+            };
+            let number = body
+                .split_once("\"release_no\":")
+                .and_then(|(_, rest)| rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok())
+                .unwrap_or(0);
+            let newest = known.lock().unwrap().iter().filter(|(_, at)| *at <= start).map(|(n, _)| *n).max();
+            if newest.is_some_and(|newest| number < newest) {
+                let line = format!("CONFIG: {number} was read after {newest:?} was acknowledged");
+                reader.record.line(&line);
+                lock(&reader.service).broken.push(line);
+            }
+        }
+    });
+    thread::spawn(move || {
+        let (mut current, mut count) = (2u64, 0u64);
+        while !lock(&deployment.service).stop {
+            thread::sleep(Duration::from_millis(400));
+            count += 1;
+            let next = current + 1 + count % 3;
+            let body = format!(
+                r#"{{"release_no":{next},"upsert":{{"route_table":[{{"name":"r-x","host_name":"extra{count}","path_prefix":"/","route_type":"primary","guard_timer_ms":800,"target_delay_ms":200,"priority_level":1,"target_service":"ledger","max_attempts":2}}]}}}}"#
+            );
+            let headers = format!("If-Match: {current}\r\n");
+            let controls = deployment.controls();
+            for turn in 0.. {
+                if lock(&deployment.service).stop {
+                    return;
+                }
+                let answer = http(&controls[turn % controls.len()], "PATCH", "/api/configuration", &headers, &body);
+                deployment
+                    .record
+                    .detail(format!("operator: {next} on {current} -> {:?}", answer.as_ref().map(|a| a.0)));
+                match answer {
+                    Some((200, _)) => {
+                        current = next;
+                        acknowledged.lock().unwrap().push((next, Instant::now()));
+                        break;
+                    }
+                    Some((status, text)) if status == 412 || status == 400 => {
+                        let line = format!("CONFIG: a proper order ({next} on {current}) was refused: {status} {text}");
+                        deployment.record.line(&line);
+                        lock(&deployment.service).broken.push(line);
+                        return;
+                    }
+                    _ => thread::sleep(Duration::from_millis(150)),
+                }
+            }
+        }
+    });
+}
+
 /// A planned end of a server, which sends DELETE first or says that it drains.
 fn leave(deployment: &Arc<Deployment>, name: &str, delete_first: bool) {
     let path = format!("/api/instances/{name}");
