--- a/review/standin2/src/database.rs
+++ b/review/standin2/src/database.rs
@@ -103,6 +103,14 @@
     pub late_heartbeats: Duration,
     /// One answer in so many is lost; 0 for none.
     pub lost_answers: u64,
+    /// The same for the statements of the system's own.
+    pub lost_replies: u64,
+    pub control_statements: u64,
+    /// Operations of clients: tried, and answered with success.
+    pub tried: u64,
+    pub served: u64,
+    /// The databases of the acknowledged changes of the configuration, in their order.
+    pub routes: Vec<(String, Instant)>,
     /// Commits cut back by a promotion.
     pub cut_back: std::collections::BTreeSet<String>,
     pub statements: u64,
@@ -124,6 +132,13 @@
     pub transaction: u64,
 }
 
+impl Service {
+    /// Operations of clients: tried, and served.
+    pub fn clone_counts(&self) -> (u64, u64) {
+        (self.tried, self.served)
+    }
+}
+
 pub type Shared = Arc<Mutex<Service>>;
 
 pub fn lock(service: &Shared) -> MutexGuard<'_, Service> {
@@ -313,6 +328,13 @@
                     && service.statements % service.lost_answers == 0
                     && !line.contains(" - ")
             };
+            let lost = lost || {
+                let mut service = lock(&self.service);
+                service.control_statements += u64::from(line.contains(" - "));
+                open && line.contains(" - ")
+                    && service.lost_replies > 0
+                    && service.control_statements % service.lost_replies == 0
+            };
             if lost {
                 if line.len() % 2 == 0 {
                     return;
--- a/review/standin2/src/scenarios/departed.rs
+++ b/review/standin2/src/scenarios/departed.rs
@@ -3,6 +3,7 @@
 //! crashes (`replica_lag`, `deaf crash`).
 
 use std::{
+    collections::BTreeSet,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -109,7 +110,7 @@
     });
     at(18.0);
     let service = lock(&deployment.service);
-    let lost: Vec<&String> = service.promotions.iter().flat_map(|(_, missing)| missing).collect();
+    let lost: BTreeSet<&String> = service.promotions.iter().flat_map(|(_, missing)| missing).collect();
     record.line(format!(
         "{} commits acknowledged, {} promotions, {} acknowledged commits missing in a promoted server's log: {:?}",
         service.acknowledged.len(),
--- a/review/standin2/src/scenarios/fuzz.rs
+++ b/review/standin2/src/scenarios/fuzz.rs
@@ -40,6 +40,7 @@
             let database = ["payroll", "bounded", "owned"][random.below(3) as usize];
             let ip = ips[random.below(ips.len() as u64) as usize].clone();
             let Some(mut session) = Session::open_database(&ip, database) else {
+                lock(&service).tried += 1;
                 thread::sleep(Duration::from_millis(100));
                 continue;
             };
@@ -126,6 +127,11 @@
                         Expected { values: values.clone(), shape, acknowledged, own: own_now, transaction },
                     );
                     let answer = session.query(&id, &text);
+                    {
+                        let mut service = lock(&service);
+                        service.tried += 1;
+                        service.served += u64::from(answer.as_ref().is_some_and(|answer| answer.result.is_ok()));
+                    }
                     let text_of = format!("client {number} {database}: {id} {text} -> {answer:?}");
                     record.detail(&text_of);
                     match answer {
@@ -212,6 +218,7 @@
         run_client(deployment.service.clone(), record.clone(), ips.clone(), number, seed);
     }
     run_operator(deployment.clone());
+    run_route_checks(deployment.clone());
     thread::sleep(Duration::from_secs(6));
     let mut random = Random(seed.wrapping_mul(0x9E3779B97F4A7C15) | 1);
     for _ in 0..10 {
@@ -355,6 +362,12 @@
                 lock(&deployment.service).lost_answers = one_in;
                 timers.push((after(length), Box::new(move |d| lock(&d.service).lost_answers = 0)));
             }
+            "replies" => {
+                let (one_in, length) = (1 + random.below(6), 2000 + random.below(4000));
+                record.line(format!("answers to the system's own statements: one in {one_in} is lost for {length} ms"));
+                lock(&deployment.service).lost_replies = one_in;
+                timers.push((after(length), Box::new(move |d| lock(&d.service).lost_replies = 0)));
+            }
             "unanswered" => {
                 let (how, length) = (1 + random.below(2) as u8, 2000 + random.below(5000));
                 record.line(format!("platform: acts without a good answer ({how}) for {length} ms"));
@@ -426,6 +439,10 @@
             _ => {}
         }
     }
+    if std::env::var_os("CLOSING").is_some() {
+        timers.into_iter().for_each(|(_, action)| action(deployment));
+        close(deployment);
+    }
     thread::sleep(Duration::from_secs(1));
     let mut service = lock(&deployment.service);
     let kept: Vec<String> = {
@@ -448,6 +465,36 @@
     Some(service.broken.is_empty())
 }
 
+/// Asks nodes for databases whose route was dropped long enough ago: each change drops the route of the one before.
+fn run_route_checks(deployment: Arc<Deployment>) {
+    thread::spawn(move || {
+        let mut turn = 0usize;
+        while !lock(&deployment.service).stop {
+            thread::sleep(Duration::from_millis(60));
+            turn += 1;
+            let now = Instant::now();
+            let dropped = {
+                let service = lock(&deployment.service);
+                let in_force = |at: &Instant| now > *at + Duration::from_millis(3000);
+                let newest = service.routes.iter().rposition(|(_, at)| in_force(at));
+                newest.filter(|newest| *newest > 0).map(|newest| service.routes[newest - 1].0.clone())
+            };
+            let Some(dropped) = dropped else { continue };
+            let machine = &deployment.machines[turn % deployment.machines.len()];
+            let Some(mut session) = Session::open_database(&machine.ip, &dropped) else { continue };
+            let id = format!("route{turn}");
+            lock(&deployment.service).expected.insert(id.clone(), Expected::default());
+            let answer = session.query(&id, "FETCH t1");
+            if answer.as_ref().is_some_and(|answer| answer.result.is_ok()) {
+                let line =
+                    format!("CONFIG: {dropped} was served at {} more than 3 s after it was dropped", machine.name);
+                deployment.record.line(&line);
+                lock(&deployment.service).broken.push(line);
+            }
+        }
+    });
+}
+
 /// Changes the configuration again and again, and reads it back at any control node.
 fn run_operator(deployment: Arc<Deployment>) {
     let acknowledged: Arc<std::sync::Mutex<Vec<(u64, Instant)>>> = Arc::default();
@@ -495,6 +542,7 @@
                     .detail(format!("operator: {next} on {current} -> {:?}", answer.as_ref().map(|a| a.0)));
                 match answer {
                     Some((200, _)) => {
+                        lock(&deployment.service).routes.push((format!("extra{count}"), Instant::now()));
                         current = next;
                         acknowledged.lock().unwrap().push((next, Instant::now()));
                         break;
@@ -512,6 +560,44 @@
     });
 }
 
+/// The closing fault: all processes are killed and start again within a second. Service has to be back 12 s later.
+fn close(deployment: &Arc<Deployment>) {
+    {
+        let mut service = lock(&deployment.service);
+        (service.platform_delay, service.late_heartbeats) = (Duration::ZERO, Duration::ZERO);
+        (service.platform_unanswered, service.lost_answers, service.lost_replies) = (0, 0, 0);
+        for server in service.servers.values_mut() {
+            if server.dark {
+                (server.dark, server.run, server.suspended) = (false, server.run + 1, 0);
+            }
+            (server.deaf, server.cut_from_core) = (false, false);
+        }
+    }
+    deployment.record.line("closing fault: all processes are killed");
+    for machine in &deployment.machines {
+        for role in ["hub", "spoke"] {
+            deployment.signal(&format!("{}.{role}", machine.name), "-KILL");
+        }
+    }
+    thread::sleep(Duration::from_millis(700));
+    for machine in &deployment.machines {
+        if machine.core {
+            deployment.start(machine, "hub");
+        }
+        deployment.start(machine, "spoke");
+    }
+    thread::sleep(Duration::from_millis(12_500));
+    let before = lock(&deployment.service).clone_counts();
+    thread::sleep(Duration::from_secs(5));
+    let mut service = lock(&deployment.service);
+    let after = service.clone_counts();
+    let (tried, served) = (after.0 - before.0, after.1 - before.1);
+    deployment.record.line(format!("after the closing fault: {served} of {tried} statements served"));
+    if served * 4 < tried || tried == 0 {
+        service.broken.push(format!("RECOVER: {served} of {tried} statements served"));
+    }
+}
+
 /// A planned end of a server, which sends DELETE first or says that it drains.
 fn leave(deployment: &Arc<Deployment>, name: &str, delete_first: bool) {
     let path = format!("/api/instances/{name}");
--- a/review/standin2/src/scenarios/late.rs
+++ b/review/standin2/src/scenarios/late.rs
@@ -1,7 +1,9 @@
 //! The platform is slow for some seconds: it handles each call 2 s after it came. Meanwhile the primary is dark for a
-//! moment, and a new server of the service starts (the first step of a release).
+//! moment, and a new server of the service starts (the first step of a release). With TROUBLE=restart a suspended replica
+//! crashes and is back after half a second, in place of the new server.
 
 use std::{
+    collections::BTreeSet,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -26,7 +28,9 @@
     let at = |seconds: f64| {
         thread::sleep((start + Duration::from_secs_f64(seconds)).saturating_duration_since(Instant::now()))
     };
-    let (slow, dark) = (trouble == "1" || trouble == "slow", trouble == "1" || trouble == "dark");
+    let restart = trouble == "restart";
+    let both = trouble == "1" || restart;
+    let (slow, dark) = (both || trouble == "slow", both || trouble == "dark");
     if slow {
         lock(&deployment.service).platform_delay = Duration::from_secs(2);
         record.line("the platform is slow: it handles each call 2 s after it came");
@@ -44,14 +48,24 @@
         record.line("the primary i-1 is back, with its log");
     }
     at(2.8);
-    record.line("release: i-4 starts, to replace i-3");
-    deployment.add_server(4, "zone-c");
+    if restart {
+        record.line("the replica i-2 crashes");
+        lock(&deployment.service).servers.get_mut("i-2")?.dark = true;
+        at(3.3);
+        let mut service = lock(&deployment.service);
+        let server = service.servers.get_mut("i-2")?;
+        (server.dark, server.run, server.suspended) = (false, server.run + 1, 0);
+        record.line("the replica i-2 is back, with its log; its restart ended the suspension");
+    } else {
+        record.line("release: i-4 starts, to replace i-3");
+        deployment.add_server(4, "zone-c");
+    }
     at(9.0);
     lock(&deployment.service).platform_delay = Duration::ZERO;
     record.line("the platform answers at once again");
     at(16.0);
     let service = lock(&deployment.service);
-    let lost: Vec<&String> = service.promotions.iter().flat_map(|(_, missing)| missing).collect();
+    let lost: BTreeSet<&String> = service.promotions.iter().flat_map(|(_, missing)| missing).collect();
     record.line(format!(
         "{} commits acknowledged, {} promotions, {} acknowledged commits missing in a promoted server's log: {:?}",
         service.acknowledged.len(),
