--- a/review/standin2/src/scenarios.rs
+++ b/review/standin2/src/scenarios.rs
@@ -4,6 +4,7 @@
 mod evacuated;
 mod fuzz;
 mod late;
+mod withdrawal;
 
 use std::sync::Arc;
 
@@ -20,6 +21,7 @@
             std::thread::sleep(std::time::Duration::from_secs(75));
             Some(true)
         }
+        "withdrawal" => withdrawal::play(deployment, trouble),
         "fuzz" => fuzz::play(deployment, trouble),
         _ => None,
     }
--- a/review/standin2/src/scenarios/fuzz.rs
+++ b/review/standin2/src/scenarios/fuzz.rs
@@ -330,6 +330,26 @@
                     }),
                 ));
             }
+            "nodecut" => {
+                let who = if random.below(3) > 0 && !primary.is_empty() { primary } else { pick };
+                let length = 1000 + random.below(6000);
+                let machines: std::collections::BTreeSet<String> = deployment
+                    .machines
+                    .iter()
+                    .map(|machine| machine.name.clone())
+                    .filter(|_| random.below(3) > 0)
+                    .collect();
+                record.line(format!("cut: {who} is cut off from {machines:?} for {length} ms"));
+                lock(&deployment.service).servers.get_mut(&who).unwrap().cut_from = machines;
+                timers.push((
+                    after(length),
+                    Box::new(move |d| {
+                        if let Some(s) = lock(&d.service).servers.get_mut(&who) {
+                            s.cut_from.clear();
+                        }
+                    }),
+                ));
+            }
             "slow" => {
                 let (delay, length) = (200 + random.below(4000), 3000 + random.below(4000));
                 record.line(format!("platform: calls take {delay} ms for {length} ms"));
