--- a/review/standin2/src/scenarios/departed.rs
+++ b/review/standin2/src/scenarios/departed.rs
@@ -83,7 +83,18 @@
         thread::sleep((left + Duration::from_secs_f64(seconds)).saturating_duration_since(Instant::now()))
     };
     let (cut, lag) = (trouble == "1" || trouble == "cut", trouble == "1" || trouble == "lag");
+    // The variant without a cut: the leaving server itself is dark for 2.3 s, and goes on.
+    let dark = trouble == "dark";
+    let lag = lag || dark;
     at(0.3);
+    if dark {
+        change("srv_crash: i-3 is dark", &|s| s.servers.get_mut("i-3").unwrap().dark = true);
+        at(2.6);
+        change("i-3 is back, with its log", &|s| {
+            let server = s.servers.get_mut("i-3").unwrap();
+            (server.dark, server.run) = (false, server.run + 1);
+        });
+    }
     if cut {
         change("srv_cut: i-3 is cut off from the core", &|s| s.servers.get_mut("i-3").unwrap().cut_from_core = true);
     }
