--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,5 +6,5 @@
 target/review-2/release/standin2 evacuated "$PWD" "$PWD/review/8/record.txt" &
 standin=$!
 # Stopped from outside, it still ends what it started.
-trap 'pkill -KILL -P "$standin"; kill -KILL "$standin"; exit 2' TERM INT HUP
+trap 'pkill -KILL -P "$standin"; kill -KILL "$standin"; rm -rf "${TMPDIR:-/tmp}/portspoke-review-$standin"; exit 2' TERM INT HUP
 wait "$standin"
